--- /dev/null
+++ b/internal/protocol/operation.go
@@ -0,0 +1,157 @@
+package protocol
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// The header fields of the platform.
+const (
+	headerID       = "X-Correlation-Id"
+	headerClass    = "X-Service-Class"
+	headerTimeLeft = "X-Time-Left-Ms"
+	headerRepeat   = "X-Repeat"
+	headerHint     = "X-Weight-Hint"
+	headerFacts    = "X-Facts"
+	headerLoad     = "X-Backend-Load"
+	headerNotRun   = "X-Unprocessed"
+)
+
+// Class is what the protocol has to know of a class of requests.
+type Class struct {
+	Name     string
+	Method   string
+	Deadline time.Duration // for operations that do not say how much time is left
+}
+
+// Operation is what a client's request says of itself.
+type Operation struct {
+	Class    int
+	TimeLeft time.Duration
+	Hint     float64 // seconds of a core, 0 for none
+	Repeat   bool
+}
+
+// maxTimeLeft bounds what a client may ask for, so that no sum of times overflows.
+const maxTimeLeft = 24 * time.Hour
+
+// ReadOperation reads the figures of a request. What it refuses never reaches a destination.
+func ReadOperation(m *Message, classes []Class) (Operation, error) {
+	var op Operation
+	find := func(name string) int {
+		for i := range classes {
+			if classes[i].Name == name {
+				return i
+			}
+		}
+		return -1
+	}
+	path, _, _ := strings.Cut(m.Start[1], "?")
+	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	stated := m.Header[headerClass]
+	op.Class = find(first)
+	switch {
+	case len(stated) > 1 || len(stated) == 1 && find(stated[0]) < 0:
+		return op, bad(400, "unknown class in %s", headerClass)
+	case op.Class < 0 || !strings.HasPrefix(path, "/"):
+		return op, bad(404, "no such path")
+	case len(stated) == 1 && stated[0] != first:
+		return op, bad(400, "path and %s name different classes", headerClass)
+	case m.Start[0] != classes[op.Class].Method:
+		return op, bad(405, "this class wants %s", classes[op.Class].Method)
+	case len(m.Header[headerID]) != 1 || m.Header[headerID][0] == "":
+		return op, bad(400, "a request names one %s", headerID)
+	}
+	op.TimeLeft = classes[op.Class].Deadline
+	if v, given := m.Header[headerTimeLeft]; given {
+		ms, err := strconv.ParseUint(v[0], 10, 53)
+		if err != nil || len(v) > 1 {
+			return op, bad(400, "malformed %s", headerTimeLeft)
+		}
+		op.TimeLeft = min(time.Duration(min(ms, uint64(maxTimeLeft/time.Millisecond)))*time.Millisecond, maxTimeLeft)
+	}
+	if v, given := m.Header[headerHint]; given {
+		us, err := strconv.ParseFloat(v[0], 64)
+		if err != nil || len(v) > 1 || math.IsInf(us, 0) || !(us >= 0) {
+			return op, bad(400, "malformed %s", headerHint)
+		}
+		op.Hint = us / 1e6
+	}
+	if v, given := m.Header[headerRepeat]; given {
+		if len(v) > 1 || v[0] != "0" && v[0] != "1" {
+			return op, bad(400, "malformed %s", headerRepeat)
+		}
+		op.Repeat = v[0] == "1"
+	}
+	for _, v := range m.Header[headerFacts] {
+		if _, ok := pairs(v); !ok {
+			return op, bad(400, "malformed %s", headerFacts)
+		}
+	}
+	return op, nil
+}
+
+// pairs reads name=value,name=value.
+func pairs(s string) (map[string]string, bool) {
+	out := map[string]string{}
+	for part := range strings.SplitSeq(s, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if !ok || name == "" {
+			return nil, strings.TrimSpace(s) == ""
+		}
+		out[name] = value
+	}
+	return out, true
+}
+
+// socketNames maps the words of the settings for the values of a load report to those on sockets.
+func socketName(word string) string {
+	switch word {
+	case "rif":
+		return "inflight"
+	case "q":
+		return "queue"
+	case "busy":
+		return "util"
+	case "rate":
+		return "qps"
+	case "lat_ms":
+		return "latency_ms"
+	case "fail_rate":
+		return "eps"
+	}
+	return word
+}
+
+// Load reads the load report of an answer in the order of the settings' fields; nil if it has none that is whole.
+func (m *Message) Load(fields []string) []float32 {
+	if v := m.Header[headerLoad]; len(v) > 0 {
+		return LoadReport(v[0], fields)
+	}
+	return nil
+}
+
+// LoadReport reads a load report's text.
+func LoadReport(text string, fields []string) []float32 {
+	values, ok := pairs(strings.TrimSpace(text))
+	if !ok || len(fields) == 0 {
+		return nil
+	}
+	load := make([]float32, len(fields))
+	for i, word := range fields {
+		v, err := strconv.ParseFloat(values[socketName(word)], 32)
+		if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+			return nil
+		}
+		load[i] = float32(v)
+	}
+	return load
+}
+
+// NotRun tells whether an answer says that the request was turned away unseen.
+func (m *Message) NotRun() bool {
+	v := m.Header[headerNotRun]
+	return (m.Status() == 503 || m.Status() == 504) && len(v) == 1 && v[0] == "1"
+}
--- /dev/null
+++ b/internal/protocol/poolconfig.go
@@ -0,0 +1,81 @@
+package protocol
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+)
+
+// State is what discovery says of a destination.
+type State uint8
+
+// The states of a destination.
+const (
+	Ready State = iota + 1
+	Draining
+	Gone
+)
+
+// PoolConfig is discovery's list of destinations, whole or only what changed.
+type PoolConfig struct {
+	Index        int64
+	Whole        bool
+	Destinations []Destination
+}
+
+// Destination is an entry of a pool config.
+type Destination struct {
+	Name    string
+	Address string
+	Zone    string
+	Kind    string
+	Group   int
+	State   State
+	Weight  float64
+	SinceMS int64
+}
+
+// ReadPoolConfig decodes a pool config. One bad entry spoils it whole: a list that is partly believed would tell the
+// module that what was left out is gone.
+func ReadPoolConfig(text []byte) (PoolConfig, error) {
+	var raw struct {
+		Index     *int64
+		Snapshot  bool
+		Endpoints []struct {
+			Name, Address, Zone, Type, Status string
+			Group                             int
+			Weight                            float64
+			SinceMS                           int64 `json:"since_ms"`
+		}
+	}
+	var list PoolConfig
+	if err := json.Unmarshal(text, &raw); err != nil {
+		return list, fmt.Errorf("pool config: %w", err)
+	}
+	if raw.Index == nil {
+		return list, fmt.Errorf("pool config: index is missing")
+	}
+	list.Index, list.Whole = *raw.Index, raw.Snapshot
+	for i, e := range raw.Endpoints {
+		d := Destination{Name: e.Name, Address: e.Address, Zone: e.Zone, Kind: e.Type, Group: e.Group, Weight: e.Weight,
+			SinceMS: max(e.SinceMS, 0)}
+		switch e.Status {
+		case "Ready":
+			d.State = Ready
+		case "Terminating":
+			d.State = Draining
+		case "Gone":
+			d.State = Gone
+		default:
+			return list, fmt.Errorf("pool config: entry %d: unknown status %q", i, e.Status)
+		}
+		if d.Name == "" {
+			return list, fmt.Errorf("pool config: entry %d has no name", i)
+		}
+		if _, err := netip.ParseAddrPort(d.Address); err != nil && d.State != Gone {
+			return list, fmt.Errorf("pool config: entry %d: %w", i, err)
+		}
+		list.Destinations = append(list.Destinations, d)
+	}
+	return list, nil
+}
--- /dev/null
+++ b/internal/routing/interfaces.go
@@ -0,0 +1,116 @@
+// Package routing takes operations to destinations by the decisions of package balance. One goroutine, the Loop, owns
+// the Balancer and all that belongs to it; it neither blocks nor polls. The package knows no socket and no protocol:
+// its interfaces are implemented by whoever carries the bytes.
+package routing
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"wingwheel/balance"
+)
+
+// Operation is a client's request on its way through the sidecar.
+type Operation struct {
+	Class    int
+	Deadline time.Duration // on the Loop's clock: when the client stops waiting
+	Hint     float64       // seconds of a core, 0 for none
+	Repeat   bool          // the client has tried before
+	Payload  any           // the request itself, for the Carrier alone
+	Done     func(Answer)  // takes the one final answer; it must not block
+
+	id       balance.RequestID
+	ended    bool // the final answer was given, or nobody waits for it
+	attempts []*Attempt
+	out      int // attempts without an outcome
+}
+
+// Verdict is the kind of a final answer.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Served Verdict = iota // Payload is a destination's answer
+	Busy                  // refused: trying again is harmless
+	Failed                // it may have run
+)
+
+// Answer is the final answer to an operation.
+type Answer struct {
+	Verdict    Verdict
+	RetryAfter time.Duration // Busy: when to come back, 0 for no advice
+	Payload    any
+}
+
+// Destination is a server that the pool config has named.
+type Destination struct {
+	ID      balance.ServerID
+	Name    string
+	Address string
+	closed  atomic.Bool // discovery says that it drains or is gone
+}
+
+// Closed tells whether the destination takes nothing new. Any goroutine may ask.
+func (d *Destination) Closed() bool { return d.closed.Load() }
+
+// Attempt is one send of an operation.
+type Attempt struct {
+	Op          *Operation
+	Destination *Destination
+	Deadline    time.Duration   // on the Loop's clock
+	Context     context.Context // done when the attempt is called off
+	clock       Clock
+	number      int
+	sent        time.Duration
+	cancel      context.CancelFunc
+	over        bool
+}
+
+// Stale guards the moment before the first byte: time may have passed since the decision, in which the destination
+// began to drain, the operation ended or its time ran out.
+func (a *Attempt) Stale() bool {
+	return a.Destination.closed.Load() || a.Context.Err() != nil || a.Left() <= 0
+}
+
+// Left is the time that the attempt still has.
+func (a *Attempt) Left() time.Duration { return a.Deadline - a.clock.Now() }
+
+// Result is how an attempt or a probe ended: with an answer or with an error.
+type Result struct {
+	Status  balance.Status // of an answer
+	Payload any            // the answer, if it was served
+	Load    []float32      // its load report, if there was one
+	Err     *AttemptError  // instead of an answer
+}
+
+// Carrier takes attempts to destinations.
+type Carrier interface {
+	// Carry starts an attempt and returns at once. done is called once, from any goroutine.
+	Carry(a *Attempt, done func(Result))
+	// Probe asks a destination for its health and load.
+	Probe(d *Destination, done func(Result))
+	// CloseIdle closes the idle connections to a destination.
+	CloseIdle(d *Destination)
+}
+
+// Directory watches discovery.
+type Directory interface {
+	// Follow opens a watch of what has changed since a version and returns at once. The watch reports to the Loop by
+	// Pool and ends with one Lost.
+	Follow(since int64)
+}
+
+// Clock is Unix time, read once and advanced by the monotonic clock, so that steps of the system's clock do no harm.
+type Clock struct{ base time.Time }
+
+// NewClock reads the system's clock.
+func NewClock() Clock { return Clock{time.Now()} }
+
+// Now is the time since the Unix epoch.
+func (c Clock) Now() time.Duration {
+	return time.Duration(c.base.UnixNano()) + time.Since(c.base)
+}
+
+// At turns a time of this clock into one for sockets.
+func (c Clock) At(t time.Duration) time.Time { return c.base.Add(t - time.Duration(c.base.UnixNano())) }
--- /dev/null
+++ b/internal/routing/loop.go
@@ -0,0 +1,128 @@
+package routing
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"log/slog"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"wingwheel/balance"
+)
+
+// Loop owns the Balancer. All its methods but New, Run and those that say so run on its one goroutine.
+type Loop struct {
+	Clock
+
+	set       balance.Settings
+	names     Names
+	carrier   Carrier
+	directory Directory
+	log       *slog.Logger
+	balancer  *balance.Balancer
+
+	events  chan func() // what others report
+	pending []func()    // what the Loop reports to itself: a Host may not call back
+	done    chan struct{}
+	owed    atomic.Int64 // operations without a final answer
+
+	lastID balance.RequestID
+	ops    map[balance.RequestID]*Operation
+	pool   pool
+	timers timers
+	asked  uint64 // timers asked for so far
+}
+
+// Names are the words of discovery in the order of the settings' lists.
+type Names struct{ Zones, Kinds []string }
+
+// New returns a Loop that does not run yet.
+func New(set balance.Settings, names Names, clock Clock, log *slog.Logger) *Loop {
+	return &Loop{Clock: clock, set: set, names: names, log: log, events: make(chan func(), 256),
+		done: make(chan struct{}), ops: map[balance.RequestID]*Operation{}, pool: newPool()}
+}
+
+// Run starts the module and serves events until the context ends.
+func (l *Loop) Run(ctx context.Context, carrier Carrier, directory Directory) error {
+	defer close(l.done)
+	l.carrier, l.directory = carrier, directory
+	b, err := balance.New(l.set, host{l}, l.Now())
+	if err != nil {
+		return err
+	}
+	l.balancer = b
+	alarm := time.NewTimer(time.Hour)
+	defer alarm.Stop()
+	for {
+		// What is due comes before what is new, as in the module's own order of time.
+		for l.timers.Len() > 0 && l.timers[0].at <= l.Now() {
+			t := heap.Pop(&l.timers).(timer)
+			l.handle(func() { l.balancer.Timer(l.Now(), t.token) })
+		}
+		if l.timers.Len() > 0 {
+			alarm.Reset(l.timers[0].at - l.Now())
+		}
+		select {
+		case event := <-l.events:
+			l.handle(event)
+		case <-alarm.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// handle runs one event and what it makes the Loop tell itself.
+func (l *Loop) handle(event func()) {
+	l.guarded(event)
+	for len(l.pending) > 0 {
+		next := l.pending[0]
+		l.pending = l.pending[1:]
+		l.guarded(next)
+	}
+}
+
+// guarded keeps a panic in one event from taking the sidecar, and every other operation, down with it.
+func (l *Loop) guarded(event func()) {
+	defer func() {
+		if p := recover(); p != nil {
+			l.log.Error("panic in an event", "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+		}
+	}()
+	event()
+}
+
+// post hands the Loop an event, from any goroutine.
+func (l *Loop) post(event func()) {
+	select {
+	case l.events <- event:
+	case <-l.done:
+	}
+}
+
+// Owed tells how many operations have no final answer yet. Any goroutine may ask.
+func (l *Loop) Owed() int { return int(l.owed.Load()) }
+
+// timer is a Timer that the module asked for.
+type timer struct {
+	at    time.Duration
+	seq   uint64
+	token uint64
+}
+
+// timers is a heap by time, and by order of asking where that is equal.
+type timers []timer
+
+func (q timers) Len() int { return len(q) }
+func (q timers) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q timers) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *timers) Push(x any)   { *q = append(*q, x.(timer)) }
+func (q *timers) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
--- /dev/null
+++ b/internal/routing/operation.go
@@ -0,0 +1,101 @@
+package routing
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"wingwheel/balance"
+)
+
+// Submit takes an operation, from any goroutine. Its Done gets one answer, unless Abandon comes first.
+func (l *Loop) Submit(op *Operation) {
+	l.owed.Add(1)
+	l.post(func() {
+		l.lastID++
+		op.id = l.lastID
+		l.ops[op.id] = op
+		l.balancer.Request(l.Now(), balance.Request{ID: op.id, Class: op.Class, Deadline: op.Deadline, Hint: op.Hint,
+			Repeat: op.Repeat})
+	})
+}
+
+// Abandon says that the client of an operation has left, from any goroutine. Its Done may still be called.
+func (l *Loop) Abandon(op *Operation) {
+	l.post(func() {
+		if !op.ended {
+			l.end(op)
+			l.balancer.GoneClient(l.Now(), op.id)
+			l.forget(op)
+		}
+	})
+}
+
+// answer gives an operation its one final answer.
+func (l *Loop) answer(op *Operation, a Answer) {
+	if op != nil && !op.ended {
+		l.end(op)
+		op.Done(a)
+		l.forget(op)
+	}
+}
+
+func (l *Loop) end(op *Operation) {
+	op.ended = true
+	l.owed.Add(-1)
+}
+
+// forget drops an operation when nothing more can come for it.
+func (l *Loop) forget(op *Operation) {
+	if op.ended && op.out == 0 {
+		delete(l.ops, op.id)
+	}
+}
+
+// send starts an attempt. Each has exactly one outcome, also those that never reach the carrier.
+func (l *Loop) send(id balance.RequestID, server balance.ServerID, timeout time.Duration) {
+	op, d := l.ops[id], l.pool.byID[server]
+	if op == nil {
+		return
+	}
+	now := l.Now()
+	until := op.Deadline
+	if timeout > 0 {
+		until = min(until, now+timeout)
+	}
+	a := &Attempt{Op: op, Destination: d, Deadline: until, clock: l.Clock, number: len(op.attempts), sent: now}
+	a.Context, a.cancel = context.WithCancel(context.Background())
+	busy := op.out > 0 && !l.set.Limits.SecondCopies
+	op.attempts = append(op.attempts, a)
+	op.out++
+	if d == nil || op.ended || busy || a.Stale() {
+		l.pending = append(l.pending, func() { l.finish(a, server, Result{Err: &AttemptError{Waiting, errNotSent}}) })
+		return
+	}
+	l.carrier.Carry(a, func(r Result) { l.post(func() { l.finish(a, server, r) }) })
+}
+
+var errNotSent = errors.New("it may no longer be sent")
+
+// finish takes the end of an attempt: the client's answer goes out before the module learns of it.
+func (l *Loop) finish(a *Attempt, server balance.ServerID, r Result) {
+	if a.over {
+		return
+	}
+	a.over = true
+	a.cancel()
+	op, now := a.Op, l.Now()
+	op.out--
+	status := r.Status
+	if r.Err != nil {
+		status = r.Err.Status()
+		l.log.Debug("attempt failed", "operation", op.id, "attempt", a.number, "destination", server, "error", r.Err)
+	}
+	if status == balance.OK && !op.ended {
+		l.end(op)
+		op.Done(Answer{Verdict: Served, Payload: r.Payload})
+	}
+	l.balancer.Outcome(now, balance.Outcome{ID: op.id, Closed: op.ended, Attempt: a.number, Server: server,
+		Latency: now - a.sent, Status: status, Load: r.Load})
+	l.forget(op)
+}
--- /dev/null
+++ b/internal/routing/pool.go
@@ -0,0 +1,125 @@
+package routing
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"wingwheel/balance"
+)
+
+// Member is an entry of a pool config.
+type Member struct {
+	Name, Address, Zone, Kind string
+	Group                     int
+	State                     balance.State
+	Weight                    float64
+	Since                     time.Duration // Unix time of its last start; 0 for long ago
+}
+
+// pool holds the destinations that the pool config has named.
+type pool struct {
+	index  int64
+	byName map[string]*Destination
+	byID   map[balance.ServerID]*Destination
+}
+
+func newPool() pool {
+	return pool{byName: map[string]*Destination{}, byID: map[balance.ServerID]*Destination{}}
+}
+
+// Pool takes a pool config, from any goroutine.
+func (l *Loop) Pool(kind balance.ListKind, index int64, members []Member) {
+	l.post(func() { l.applyPool(kind, index, members) })
+}
+
+// Lost says that a watch has ended, from any goroutine.
+func (l *Loop) Lost() {
+	l.post(func() { l.balancer.Members(l.Now(), balance.Failed, nil) })
+}
+
+func (l *Loop) applyPool(kind balance.ListKind, index int64, members []Member) {
+	l.pool.index = index
+	// Ids are given in the order of names, so that a collision falls out alike at every sidecar.
+	slices.SortStableFunc(members, func(x, y Member) int {
+		if x.Name < y.Name {
+			return -1
+		} else if x.Name > y.Name {
+			return 1
+		}
+		return 0
+	})
+	servers := make([]balance.Server, 0, len(members))
+	named := map[string]bool{}
+	for _, m := range members {
+		d := l.pool.name(m.Name)
+		named[m.Name] = true
+		if m.Address != d.Address && m.Address != "" {
+			if d.Address != "" { // it has moved: a new value, for attempts that are out hold the old one
+				l.carrier.CloseIdle(d)
+				d = l.pool.replace(d)
+			}
+			d.Address = m.Address
+		}
+		l.closeTo(d, m.State != balance.Ready)
+		servers = append(servers, balance.Server{ID: d.ID, Zone: place(l.names.Zones, m.Zone),
+			Kind: place(l.names.Kinds, m.Kind), Cell: m.Group, State: m.State, Units: m.Weight, ReadyAt: m.Since})
+		if m.State == balance.Gone {
+			l.pool.drop(d)
+		}
+	}
+	if kind != balance.Delta {
+		for name, d := range l.pool.byName {
+			if !named[name] { // a whole list leaves out what is gone
+				l.closeTo(d, true)
+				l.pool.drop(d)
+			}
+		}
+	}
+	l.balancer.Members(l.Now(), kind, servers)
+}
+
+// closeTo guards the drain rule: attempts that are decided but not yet on their way look at the flag.
+func (l *Loop) closeTo(d *Destination, closed bool) {
+	if d.closed.Swap(closed) != closed && closed {
+		l.carrier.CloseIdle(d)
+	}
+}
+
+// name finds or makes the destination of a name. Its id is a hash of the name, for every sidecar must know it by the
+// same; where two names share one, the later takes the next that is free.
+func (p *pool) name(name string) *Destination {
+	if d := p.byName[name]; d != nil {
+		return d
+	}
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	id := balance.ServerID(h.Sum32())
+	for p.byID[id] != nil {
+		id++
+	}
+	d := &Destination{ID: id, Name: name}
+	p.byName[name], p.byID[id] = d, d
+	return d
+}
+
+func (p *pool) replace(old *Destination) *Destination {
+	d := &Destination{ID: old.ID, Name: old.Name}
+	d.closed.Store(old.closed.Load())
+	old.closed.Store(true)
+	p.byName[d.Name], p.byID[d.ID] = d, d
+	return d
+}
+
+func (p *pool) drop(d *Destination) {
+	delete(p.byName, d.Name)
+	delete(p.byID, d.ID)
+}
+
+// place is a name's place in a list of the settings; one that is not in it comes after all.
+func place(list []string, name string) int {
+	if i := slices.Index(list, name); i >= 0 {
+		return i
+	}
+	return len(list)
+}
--- /dev/null
+++ b/internal/transport/destinations.go
@@ -0,0 +1,227 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"runtime/debug"
+	"slices"
+	"sync"
+	"time"
+
+	"wingwheel/balance"
+	"wingwheel/internal/protocol"
+	"wingwheel/internal/routing"
+)
+
+// Destinations carries attempts over pooled connections. It implements routing.Carrier.
+type Destinations struct {
+	Clock          routing.Clock
+	ConnectTimeout time.Duration
+	IdleFor        time.Duration // a connection that has stood idle this long is closed
+	Fields         []string      // of load reports, in the settings' words
+	ProbePath      string
+	Log            *slog.Logger
+
+	meter meter
+	mu    sync.Mutex
+	idle  map[*routing.Destination][]*link // newest last
+}
+
+// probeTimeout is how long the answer to a probe is waited for.
+const probeTimeout = time.Second
+
+var _ routing.Carrier = (*Destinations)(nil)
+
+// Open prepares for at most that many connections.
+func (u *Destinations) Open(most int) {
+	u.meter.most = most
+	u.idle = map[*routing.Destination][]*link{}
+}
+
+// Carry starts an attempt. It implements routing.Carrier.
+func (u *Destinations) Carry(a *routing.Attempt, done func(routing.Result)) {
+	go func() {
+		t := &task{done: done, deadline: u.Clock.At(a.Deadline)}
+		defer u.caught(t)
+		u.run(a.Context, a.Destination, t, a.Stale, func() []byte {
+			return protocol.AppendRequest(nil, a.Op.Payload.(*protocol.Message), a.Left())
+		})
+	}()
+}
+
+// Probe asks a destination for its health and load. It implements routing.Carrier.
+func (u *Destinations) Probe(d *routing.Destination, done func(routing.Result)) {
+	go func() {
+		t := &task{done: done, deadline: time.Now().Add(probeTimeout), probe: true}
+		defer u.caught(t)
+		u.run(context.Background(), d, t, func() bool { return false }, func() []byte {
+			return protocol.AppendGet(nil, d.Address, u.ProbePath)
+		})
+	}()
+}
+
+// caught keeps a panic at its connection: the attempt ends as one that may have run.
+func (u *Destinations) caught(t *task) {
+	if p := recover(); p != nil {
+		u.Log.Error("panic at a destination", "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+		t.finish(routing.Result{Err: &routing.AttemptError{Progress: routing.WhollyWritten, Err: errPanic}})
+	}
+}
+
+var (
+	errPanic  = errors.New("panic")
+	errStale  = errors.New("it may no longer be sent")
+	errNoRoom = errors.New("the budget of descriptors is spent")
+)
+
+// run takes a task through a connection up to the last byte written; the connection's reader ends it.
+func (u *Destinations) run(ctx context.Context, d *routing.Destination, t *task, stale func() bool, text func() []byte) {
+	fail := func(p routing.Progress, err error) {
+		t.finish(routing.Result{Err: &routing.AttemptError{Progress: p, Err: err}})
+	}
+	k, err := u.connect(ctx, d, t)
+	if err != nil {
+		if errors.Is(err, errNoRoom) {
+			fail(routing.Waiting, err)
+		} else {
+			fail(routing.Connecting, err)
+		}
+		return
+	}
+	// What has come since the decision may forbid the send: the last look is here, before the first byte.
+	if stale() {
+		k.release(t)
+		fail(routing.Waiting, errStale)
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { k.end(t, ctx.Err()) })
+	defer t.onDone(stop)
+	k.conn.SetWriteDeadline(t.deadline)
+	_, err = k.conn.Write(text())
+	if err == nil {
+		t.written.Store(true)
+		return
+	}
+	k.end(t, err)
+}
+
+// connect gives a task a connection: the newest idle one that still stands, or a new one.
+func (u *Destinations) connect(ctx context.Context, d *routing.Destination, t *task) (*link, error) {
+	for {
+		k := u.newest(d)
+		if k == nil {
+			break
+		}
+		if k.begin(t) {
+			return k, nil
+		}
+	}
+	if !u.meter.take() && (!u.evict() || !u.meter.take()) {
+		return nil, errNoRoom
+	}
+	until := time.Now().Add(u.ConnectTimeout)
+	if t.deadline.Before(until) {
+		until = t.deadline
+	}
+	dialer := net.Dialer{Deadline: until, KeepAlive: -1}
+	conn, err := dialer.DialContext(ctx, "tcp", d.Address)
+	if err != nil {
+		u.meter.give()
+		return nil, err
+	}
+	k := &link{home: u, to: d, conn: conn, machine: protocol.Machine{Answers: true}}
+	k.begin(t)
+	go k.read()
+	return k, nil
+}
+
+func (u *Destinations) newest(d *routing.Destination) *link {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	list := u.idle[d]
+	if len(list) == 0 {
+		return nil
+	}
+	k := list[len(list)-1]
+	u.keep(d, list[:len(list)-1])
+	return k
+}
+
+func (u *Destinations) keep(d *routing.Destination, list []*link) {
+	if len(list) == 0 {
+		delete(u.idle, d)
+	} else {
+		u.idle[d] = list
+	}
+}
+
+// put keeps an idle connection, unless its destination takes nothing new.
+func (u *Destinations) put(k *link) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if k.to.Closed() {
+		k.conn.Close()
+		return
+	}
+	u.idle[k.to] = append(u.idle[k.to], k)
+}
+
+func (u *Destinations) remove(k *link) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	list := u.idle[k.to]
+	if i := slices.Index(list, k); i >= 0 {
+		u.keep(k.to, slices.Delete(list, i, i+1))
+	}
+}
+
+// CloseIdle closes the idle connections to a destination. It implements routing.Carrier.
+func (u *Destinations) CloseIdle(d *routing.Destination) {
+	u.mu.Lock()
+	list := u.idle[d]
+	delete(u.idle, d)
+	u.mu.Unlock()
+	for _, k := range list {
+		k.conn.Close()
+	}
+}
+
+// evict closes the connection that has been idle longest, to make room.
+func (u *Destinations) evict() bool {
+	u.mu.Lock()
+	var oldest *link
+	for _, list := range u.idle {
+		if k := list[0]; oldest == nil || k.since.Before(oldest.since) {
+			oldest = k
+		}
+	}
+	if oldest != nil {
+		u.keep(oldest.to, u.idle[oldest.to][1:])
+	}
+	u.mu.Unlock()
+	if oldest == nil || !oldest.begin(&task{done: func(routing.Result) {}}) {
+		return false
+	}
+	oldest.close()
+	return true
+}
+
+// result turns a destination's answer into what it means.
+func (u *Destinations) result(m *protocol.Message, probe bool) routing.Result {
+	r := routing.Result{Load: m.Load(u.Fields)}
+	if probe && r.Load == nil {
+		r.Load = protocol.LoadReport(string(m.Body), u.Fields)
+	}
+	switch {
+	case m.Status() == 200:
+		r.Status, r.Payload = balance.OK, m
+	case m.NotRun():
+		r.Status = balance.FullUp
+	default:
+		r.Status = balance.Error
+	}
+	return r
+}
--- /dev/null
+++ b/internal/transport/front.go
@@ -0,0 +1,104 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wingwheel/internal/protocol"
+	"wingwheel/internal/routing"
+)
+
+// Front is the front socket, which clients connect to.
+type Front struct {
+	Loop    *routing.Loop
+	Classes []protocol.Class
+	Log     *slog.Logger
+	Most    int         // connections that are served; a few more are told that the sidecar is busy
+	Ready   atomic.Bool // the pool config is known
+
+	draining atomic.Bool
+	mu       sync.Mutex
+	conns    map[*frontConn]struct{}
+	gone     sync.Cond // broadcast when a connection ends
+}
+
+// lingering is how long new requests are served after the word to stop: clients learn of it late.
+const lingering = time.Second
+
+// Serve accepts connections until the listener closes.
+func (f *Front) Serve(ln net.Listener) error {
+	f.mu.Lock()
+	f.conns = map[*frontConn]struct{}{}
+	f.gone.L = &f.mu
+	f.mu.Unlock()
+	for {
+		f.room()
+		conn, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil { // a lack of descriptors, say: what is being served goes on
+			f.Log.Error("accept failed", "error", err)
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		c := &frontConn{front: f, conn: conn, since: time.Now()}
+		f.mu.Lock()
+		f.conns[c] = struct{}{}
+		c.beyond = len(f.conns) > f.Most && !f.closeIdle()
+		f.mu.Unlock()
+		go c.serve()
+	}
+}
+
+// room waits until there is a descriptor for one more connection.
+func (f *Front) room() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for len(f.conns) >= f.Most+overflow {
+		f.closeIdle()
+		f.gone.Wait()
+	}
+}
+
+// closeIdle closes the connection that has been idle longest. f.mu is held.
+func (f *Front) closeIdle() bool {
+	var oldest *frontConn
+	for c := range f.conns {
+		if c.idle && (oldest == nil || c.since.Before(oldest.since)) {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.idle = false
+	oldest.conn.Close()
+	return true
+}
+
+// Stop serves on for a while, as clients learn late that the sidecar is to stop, then closes what is idle and waits
+// until nothing is owed, or the context ends.
+func (f *Front) Stop(ctx context.Context, ln net.Listener) {
+	f.draining.Store(true)
+	select {
+	case <-time.After(lingering):
+	case <-ctx.Done():
+	}
+	ln.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	defer context.AfterFunc(ctx, f.gone.Broadcast)()
+	for f.closeIdle() {
+	}
+	for len(f.conns) > 0 && ctx.Err() == nil {
+		f.gone.Wait()
+		for f.closeIdle() {
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/frontconn.go
@@ -0,0 +1,249 @@
+package transport
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"wingwheel/internal/protocol"
+	"wingwheel/internal/routing"
+)
+
+const (
+	slowRequest = 10 * time.Second       // a request that takes longer to come is given up
+	slowAnswer  = 5 * time.Second        // an answer that the client does not take
+	answerGrace = 25 * time.Millisecond  // after the deadline the connection answers by itself
+	maxAhead    = 16 << 10               // bytes kept of what a client sends before it has its answer
+	goodbye     = 500 * time.Millisecond // how long the client may take to close its side
+)
+
+// frontConn is one connection of a client. One goroutine serves it; while an operation is out that goroutine goes on
+// reading, and the answer wakes it by moving the time of its read.
+type frontConn struct {
+	front   *Front
+	conn    net.Conn
+	beyond  bool // beyond the budget: told that the sidecar is busy
+	machine protocol.Machine
+	ahead   []byte // read, and not yet fed
+
+	idle  bool      // between two requests; under front.mu, as since
+	since time.Time // idle since then
+
+	op     *routing.Operation // out, nil for none
+	answer chan routing.Answer
+}
+
+// serve runs the connection to its end.
+func (c *frontConn) serve() {
+	defer c.leave()
+	buf := make([]byte, 4<<10)
+	var began time.Time // when the first byte of the present request came
+	for {
+		msg, err := c.next()
+		if err != nil {
+			c.refuse(err)
+			return
+		}
+		if msg != nil {
+			began = time.Time{}
+			if !c.handle(msg, buf) {
+				return
+			}
+			continue
+		}
+		if c.machine.Idle() {
+			if !c.rest() {
+				return
+			}
+		} else if began.IsZero() {
+			began = time.Now()
+			c.conn.SetReadDeadline(began.Add(slowRequest))
+			if head := c.machine.Head(); head != nil && head.Header.Get("Expect") != "" {
+				c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+			}
+		}
+		n, err := c.conn.Read(buf)
+		c.wake()
+		c.ahead = append(c.ahead, buf[:n]...)
+		if err != nil && n == 0 {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				c.refuse(&protocol.Error{Status: 408, Why: "the request took too long to come"})
+			}
+			return
+		}
+	}
+}
+
+// rest marks the connection as idle; a stopping sidecar may close it from here on.
+func (c *frontConn) rest() bool {
+	c.conn.SetReadDeadline(time.Time{})
+	c.front.mu.Lock()
+	defer c.front.mu.Unlock()
+	c.idle = true
+	c.front.gone.Broadcast()
+	return true
+}
+
+func (c *frontConn) wake() {
+	c.front.mu.Lock()
+	defer c.front.mu.Unlock()
+	c.idle, c.since = false, time.Now()
+}
+
+// next takes a request from what has come, nil while it is not whole.
+func (c *frontConn) next() (*protocol.Message, error) {
+	if len(c.ahead) == 0 {
+		return nil, nil
+	}
+	used, msg, err := c.machine.Feed(c.ahead)
+	if c.ahead = c.ahead[used:]; len(c.ahead) == 0 {
+		c.ahead = nil
+	}
+	return msg, err
+}
+
+// handle answers one request and tells whether the connection stays.
+func (c *frontConn) handle(m *protocol.Message, buf []byte) bool {
+	last := func() bool { return m.Close || c.beyond || c.front.draining.Load() }
+	if m.Start[1] == "/health/ready" {
+		r := protocol.Reply{Status: 200, Text: "ready"}
+		if m.Start[0] != "GET" {
+			r = protocol.Reply{Status: 405, Allow: "GET", Text: "this path wants GET"}
+		} else if !c.front.Ready.Load() || c.front.draining.Load() {
+			r = protocol.Reply{Status: 503, Text: "not ready"}
+		}
+		return c.reply(r, last())
+	}
+	figures, err := protocol.ReadOperation(m, c.front.Classes)
+	if err != nil {
+		var e *protocol.Error
+		errors.As(err, &e)
+		r := protocol.Reply{Status: e.Status, Text: e.Why}
+		if e.Status == 405 {
+			r.Allow = c.front.Classes[figures.Class].Method
+		}
+		return c.reply(r, last())
+	}
+	if c.beyond {
+		return c.reply(protocol.Reply{Status: 503, Text: "busy: too many connections"}, true)
+	}
+	return c.operate(m, figures, buf, last)
+}
+
+// operate has an operation carried out and answers it.
+func (c *frontConn) operate(m *protocol.Message, figures protocol.Operation, buf []byte, last func() bool) bool {
+	loop := c.front.Loop
+	c.answer = make(chan routing.Answer, 1)
+	op := &routing.Operation{Class: figures.Class, Deadline: loop.Now() + figures.TimeLeft, Hint: figures.Hint,
+		Repeat: figures.Repeat, Payload: m}
+	op.Done = func(a routing.Answer) {
+		c.answer <- a
+		c.conn.SetReadDeadline(time.Unix(1, 0)) // wakes the read below
+	}
+	c.op = op
+	c.conn.SetReadDeadline(loop.At(op.Deadline + answerGrace))
+	loop.Submit(op)
+	a, here := c.wait(buf)
+	c.op = nil
+	if !here {
+		loop.Abandon(op)
+		return false
+	}
+	close := last()
+	switch a.Verdict {
+	case routing.Served:
+		return c.send(protocol.AppendServed(nil, a.Payload.(*protocol.Message), close), close)
+	case routing.Busy:
+		return c.reply(protocol.Reply{Status: 503, RetryAfter: a.RetryAfter, Text: "busy"}, close)
+	}
+	return c.reply(protocol.Reply{Status: 502, Text: "failed"}, close)
+}
+
+// wait reads on until the answer is there, or tells that the client has left. Where the time is up and no answer has
+// come, the operation has failed.
+func (c *frontConn) wait(buf []byte) (routing.Answer, bool) {
+	for {
+		n, err := 0, error(nil)
+		if len(c.ahead) < maxAhead {
+			n, err = c.conn.Read(buf)
+			c.ahead = append(c.ahead, buf[:n]...)
+		} else { // the client sends far ahead: its leaving will show when the answer is written
+			select {
+			case a := <-c.answer:
+				return a, true
+			case <-time.After(time.Until(c.front.Loop.At(c.op.Deadline + answerGrace))):
+				err = os.ErrDeadlineExceeded
+			}
+		}
+		select {
+		case a := <-c.answer:
+			return a, true
+		default:
+		}
+		if err == nil || n > 0 {
+			continue
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.front.Loop.Abandon(c.op)
+			return routing.Answer{Verdict: routing.Failed}, true
+		}
+		return routing.Answer{}, false
+	}
+}
+
+// refuse answers what is not a request; where one ends is no longer known, so the connection ends too.
+func (c *frontConn) refuse(err error) {
+	var e *protocol.Error
+	if errors.As(err, &e) {
+		c.reply(protocol.Reply{Status: e.Status, Text: e.Why}, true)
+	}
+}
+
+func (c *frontConn) reply(r protocol.Reply, last bool) bool {
+	return c.send(protocol.AppendReply(nil, r, last), last)
+}
+
+// send writes an answer and tells whether the connection stays.
+func (c *frontConn) send(text []byte, last bool) bool {
+	if !c.write(text) {
+		return false
+	}
+	if last {
+		c.linger()
+	}
+	return !last
+}
+
+func (c *frontConn) write(text []byte) bool {
+	c.conn.SetWriteDeadline(time.Now().Add(slowAnswer))
+	_, err := c.conn.Write(text)
+	return err == nil
+}
+
+// linger lets the client read the answer: closing while it still sends would reset the connection under it.
+func (c *frontConn) linger() {
+	if tcp, ok := c.conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+		c.conn.SetReadDeadline(time.Now().Add(goodbye))
+		io.Copy(io.Discard, io.LimitReader(c.conn, 4*protocol.MaxBody))
+	}
+}
+
+// leave ends the connection. A panic stops here, and the operation that it met still gets its answer.
+func (c *frontConn) leave() {
+	if p := recover(); p != nil {
+		c.front.Log.Error("panic at a front connection", "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+		if c.op != nil {
+			c.front.Loop.Abandon(c.op)
+		}
+		c.reply(protocol.Reply{Status: 500, Text: "failed"}, true)
+	}
+	c.conn.Close()
+	c.front.mu.Lock()
+	delete(c.front.conns, c)
+	c.front.gone.Broadcast()
+	c.front.mu.Unlock()
+}
