--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"wingwheel/balance"
+	"kitewood/balance"
 )
 
 // host is a small host: it performs actions by printing them and keeps what a real one would have to do later.
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -9,8 +9,8 @@
 	"runtime/debug"
 	"time"
 
-	"wingwheel/balance"
-	"wingwheel/internal/wire"
+	"kitewood/balance"
+	"kitewood/internal/wire"
 )
 
 func main() {
--- a/cmd/kitewood/main.go
+++ b/cmd/kitewood/main.go
@@ -11,7 +11,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"wingwheel/internal/program"
+	"kitewood/internal/program"
 )
 
 // version is the release that CHANGELOG.md describes.
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -10,10 +10,10 @@
 	"strconv"
 	"time"
 
-	"wingwheel/balance"
-	"wingwheel/internal/protocol"
-	"wingwheel/internal/transport"
-	"wingwheel/internal/wire"
+	"kitewood/balance"
+	"kitewood/internal/protocol"
+	"kitewood/internal/transport"
+	"kitewood/internal/wire"
 )
 
 // Config is what a sidecar is told when it starts.
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -12,9 +12,9 @@
 	"syscall"
 	"time"
 
-	"wingwheel/balance"
-	"wingwheel/internal/routing"
-	"wingwheel/internal/transport"
+	"kitewood/balance"
+	"kitewood/internal/routing"
+	"kitewood/internal/transport"
 )
 
 // stopMargin is how long after the longest deadline a stopping sidecar gives up on what is still owed.
--- a/internal/routing/errors.go
+++ b/internal/routing/errors.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"os"
 
-	"wingwheel/balance"
+	"kitewood/balance"
 )
 
 // Progress is how far an attempt had come when it broke. Whether it may have run follows from it.
--- a/internal/routing/host.go
+++ b/internal/routing/host.go
@@ -4,7 +4,7 @@
 	"container/heap"
 	"time"
 
-	"wingwheel/balance"
+	"kitewood/balance"
 )
 
 // host performs the module's actions on the Loop. What they lead to comes back as later events.
--- a/internal/routing/interfaces.go
+++ b/internal/routing/interfaces.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"wingwheel/balance"
+	"kitewood/balance"
 )
 
 // Operation is a client's request on its way through the sidecar.
--- a/internal/routing/loop.go
+++ b/internal/routing/loop.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"wingwheel/balance"
+	"kitewood/balance"
 )
 
 // Loop owns the Balancer. All its methods but New, Run and those that say so run on its one goroutine.
--- a/internal/routing/operation.go
+++ b/internal/routing/operation.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"wingwheel/balance"
+	"kitewood/balance"
 )
 
 // Submit takes an operation, from any goroutine. Its Done gets one answer, unless Abandon comes first.
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"wingwheel/balance"
+	"kitewood/balance"
 )
 
 // Member is an entry of a pool config.
--- a/internal/transport/destinations.go
+++ b/internal/transport/destinations.go
@@ -11,9 +11,9 @@
 	"sync"
 	"time"
 
-	"wingwheel/balance"
-	"wingwheel/internal/protocol"
-	"wingwheel/internal/routing"
+	"kitewood/balance"
+	"kitewood/internal/protocol"
+	"kitewood/internal/routing"
 )
 
 // Destinations carries attempts over pooled connections. It implements routing.Carrier.
--- a/internal/transport/directory.go
+++ b/internal/transport/directory.go
@@ -10,9 +10,9 @@
 	"net"
 	"time"
 
-	"wingwheel/balance"
-	"wingwheel/internal/protocol"
-	"wingwheel/internal/routing"
+	"kitewood/balance"
+	"kitewood/internal/protocol"
+	"kitewood/internal/routing"
 )
 
 // Directory watches discovery. It implements routing.Directory.
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -9,8 +9,8 @@
 	"sync/atomic"
 	"time"
 
-	"wingwheel/internal/protocol"
-	"wingwheel/internal/routing"
+	"kitewood/internal/protocol"
+	"kitewood/internal/routing"
 )
 
 // Front is the front socket, which clients connect to.
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -9,8 +9,8 @@
 	"runtime/debug"
 	"time"
 
-	"wingwheel/internal/protocol"
-	"wingwheel/internal/routing"
+	"kitewood/internal/protocol"
+	"kitewood/internal/routing"
 )
 
 const (
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -10,8 +10,8 @@
 	"syscall"
 	"time"
 
-	"wingwheel/internal/protocol"
-	"wingwheel/internal/routing"
+	"kitewood/internal/protocol"
+	"kitewood/internal/routing"
 )
 
 // task is one request on its way over a connection.
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -10,7 +10,7 @@
 	"math"
 	"time"
 
-	"wingwheel/balance"
+	"kitewood/balance"
 )
 
 const (
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -7,7 +7,7 @@
 	"math"
 	"time"
 
-	"wingwheel/balance"
+	"kitewood/balance"
 )
 
 // facts is the settings object of the dialect, as far as the module uses it. Unknown keys are ignored.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"wingwheel/balance"
+	"kitewood/balance"
 )
 
 // frame builds a batch from records in hexadecimal digits; spaces are for the reader.
