Report no attempt as never run while its request is being written

Seen, reading the paths that end an attempt: a call-off or a reset that met the write of a request was reported by what was known before the write's end, so as one that had never run (link.end). The module may then send an unsafe operation a second time. And the wake-up of an answer (SetReadDeadline in Operation.Done) can come after the answer was seen by another way; the next read of that connection then ended as a time-out: 408 on an idle connection, a failed answer for the next operation.

Checked: both shown by tests on loopback that fail without the fix (TestCancelDuringWrite, TestLateWakeUp); the tests of heads also found that textproto lets a space before the colon pass.

Also: settings that the module does not take are found before serving; an operation met by a panic is answered at once; a watch is dead when two beats are missing, as news counts as told after 6 s.

--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net/netip"
 	"os"
 	"strconv"
@@ -12,6 +13,7 @@
 
 	"kitewood/balance"
 	"kitewood/internal/protocol"
+	"kitewood/internal/routing"
 	"kitewood/internal/transport"
 	"kitewood/internal/wire"
 )
@@ -131,6 +133,10 @@
 	if c.ConnIdle <= 0 || c.ConnTimeout <= 0 {
 		return nil, errors.New("settings: permissions.connIdleS and permissions.connectTimeoutS must be above 0")
 	}
+	// A module that does not take its settings says so here, not when the sidecar already serves.
+	if _, err := routing.New(c.Module, routing.Names{}, routing.NewClock(), slog.New(slog.DiscardHandler)); err != nil {
+		return nil, err
+	}
 	return c, nil
 }
 
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net"
 	"os"
@@ -31,31 +30,30 @@
 
 	clock := routing.NewClock()
 	budget := transport.NewBudget(c.Sockets)
-	destinations := &transport.Destinations{Clock: clock, ConnectTimeout: c.ConnTimeout, IdleFor: c.ConnIdle * 7 / 10,
-		Fields: c.LoadFields, ProbePath: "/health/live", Log: log}
+	options := transport.Options{Clock: clock, ConnectTimeout: c.ConnTimeout, IdleFor: c.ConnIdle * 7 / 10,
+		Most: budget.Destinations, Fields: c.LoadFields, ProbePath: "/health/live", Log: log}
 	if c.Module.Report.Via != balance.NoReports {
-		destinations.ProbePath = "/stats"
+		options.ProbePath = "/stats"
+	}
+	destinations := transport.NewDestinations(options)
+	loop, err := routing.New(c.Module, routing.Names{Zones: c.Zones, Kinds: c.Kinds}, clock, log)
+	if err != nil {
+		return err
 	}
-	destinations.Open(budget.Destinations)
-	loop := routing.New(c.Module, routing.Names{Zones: c.Zones, Kinds: c.Kinds}, clock, log)
 	directory := &transport.Directory{Address: c.Discovery, Loop: loop, Log: log, Context: ctx}
-	front := &transport.Front{Loop: loop, Classes: c.Classes, Log: log, Most: budget.Front}
+	front := transport.NewFront(loop, c.Classes, budget.Front, log)
 
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
 	defer ln.Close()
-	failed := make(chan error, 2)
-	go func() { failed <- loop.Run(ctx, destinations, directory) }()
+	go loop.Run(ctx, destinations, directory)
 	loop.Pool(balance.Cached, c.Known.Index, transport.Members(c.Known))
-	front.Ready.Store(true) // whatever clients send comes to the loop after the list
-	go func() { failed <- front.Serve(ln) }()
+	go front.Serve(ln)
 	log.Info("serving", "name", c.Name, "listen", c.Listen, "tier", c.Module.Tier, "destinations", len(c.Known.Destinations))
 
 	select {
-	case err := <-failed:
-		return errors.Join(errors.New("a part of the sidecar has stopped"), err)
 	case <-ctx.Done():
 	case s := <-signals:
 		log.Info("stopping", "signal", s.String(), "owed", loop.Owed())
--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -71,10 +71,7 @@
 // Idle tells whether the machine stands between two messages.
 func (m *Machine) Idle() bool { return m.step == inHead && len(m.buf) == 0 }
 
-// InBody tells whether a head has come whole and its body has not.
-func (m *Machine) InBody() bool { return m.step != inHead }
-
-// Head is the message whose head has come, if InBody; its Body is not whole.
+// Head is the message whose head has come and whose body is not whole, if there is one.
 func (m *Machine) Head() *Message { return m.msg }
 
 // Feed takes bytes. It returns how many it used and the message if that is whole; bytes after a message are left.
@@ -221,7 +218,7 @@
 	digits, _, _ := strings.Cut(line, ";")
 	digits = strings.TrimRight(digits, " \t")
 	size, err := strconv.ParseUint(digits, 16, 31)
-	if err != nil || digits[0] == '+' {
+	if err != nil {
 		return bad(400, "malformed chunk size")
 	}
 	if size == 0 {
@@ -254,6 +251,11 @@
 	if err != nil {
 		return nil, bad(400, "malformed head: %v", err)
 	}
+	for name := range header { // textproto lets a space before the colon pass, by which heads are smuggled
+		if !isToken(name) {
+			return nil, bad(400, "malformed head: a field's name")
+		}
+	}
 	msg := &Message{Header: header}
 	first, rest, _ := strings.Cut(line, " ")
 	second, third, _ := strings.Cut(rest, " ")
--- a/internal/routing/loop.go
+++ b/internal/routing/loop.go
@@ -38,21 +38,19 @@
 // Names are the words of discovery in the order of the settings' lists.
 type Names struct{ Zones, Kinds []string }
 
-// New returns a Loop that does not run yet.
-func New(set balance.Settings, names Names, clock Clock, log *slog.Logger) *Loop {
-	return &Loop{Clock: clock, set: set, names: names, log: log, events: make(chan func(), 256),
+// New returns a Loop that does not run yet, or an error if the module does not take its settings.
+func New(set balance.Settings, names Names, clock Clock, log *slog.Logger) (*Loop, error) {
+	l := &Loop{Clock: clock, set: set, names: names, log: log, events: make(chan func(), 256),
 		done: make(chan struct{}), ops: map[balance.RequestID]*Operation{}, pool: newPool()}
+	var err error
+	l.balancer, err = balance.New(set, host{l}, l.Now())
+	return l, err
 }
 
-// Run starts the module and serves events until the context ends.
-func (l *Loop) Run(ctx context.Context, carrier Carrier, directory Directory) error {
+// Run serves events until the context ends.
+func (l *Loop) Run(ctx context.Context, carrier Carrier, directory Directory) {
 	defer close(l.done)
 	l.carrier, l.directory = carrier, directory
-	b, err := balance.New(l.set, host{l}, l.Now())
-	if err != nil {
-		return err
-	}
-	l.balancer = b
 	alarm := time.NewTimer(time.Hour)
 	defer alarm.Stop()
 	for {
@@ -69,7 +67,7 @@
 			l.handle(event)
 		case <-alarm.C:
 		case <-ctx.Done():
-			return nil
+			return
 		}
 	}
 }
--- a/internal/routing/operation.go
+++ b/internal/routing/operation.go
@@ -15,6 +15,7 @@
 		l.lastID++
 		op.id = l.lastID
 		l.ops[op.id] = op
+		defer l.answerOnPanic(op)
 		l.balancer.Request(l.Now(), balance.Request{ID: op.id, Class: op.Class, Deadline: op.Deadline, Hint: op.Hint,
 			Repeat: op.Repeat})
 	})
@@ -40,6 +41,14 @@
 	}
 }
 
+// answerOnPanic gives the operation that a panic met its answer, and passes the panic on.
+func (l *Loop) answerOnPanic(op *Operation) {
+	if p := recover(); p != nil {
+		l.answer(op, Answer{Verdict: Failed})
+		panic(p)
+	}
+}
+
 func (l *Loop) end(op *Operation) {
 	op.ended = true
 	l.owed.Add(-1)
@@ -95,6 +104,7 @@
 		l.end(op)
 		op.Done(Answer{Verdict: Served, Payload: r.Payload})
 	}
+	defer l.answerOnPanic(op)
 	l.balancer.Outcome(now, balance.Outcome{ID: op.id, Closed: op.ended, Attempt: a.number, Server: server,
 		Latency: now - a.sent, Status: status, Load: r.Load})
 	l.forget(op)
--- a/internal/transport/destinations.go
+++ b/internal/transport/destinations.go
@@ -16,31 +16,35 @@
 	"kitewood/internal/routing"
 )
 
-// Destinations carries attempts over pooled connections. It implements routing.Carrier.
-type Destinations struct {
+// Options are what the connections to destinations are held by.
+type Options struct {
 	Clock          routing.Clock
 	ConnectTimeout time.Duration
 	IdleFor        time.Duration // a connection that has stood idle this long is closed
+	Most           int           // connections at a time
 	Fields         []string      // of load reports, in the settings' words
 	ProbePath      string
 	Log            *slog.Logger
+}
 
+// Destinations carries attempts over pooled connections. It implements routing.Carrier.
+type Destinations struct {
+	Options
 	meter meter
 	mu    sync.Mutex
 	idle  map[*routing.Destination][]*link // newest last
 }
 
+// NewDestinations returns a Destinations without connections.
+func NewDestinations(o Options) *Destinations {
+	return &Destinations{Options: o, meter: meter{most: o.Most}, idle: map[*routing.Destination][]*link{}}
+}
+
 // probeTimeout is how long the answer to a probe is waited for.
 const probeTimeout = time.Second
 
 var _ routing.Carrier = (*Destinations)(nil)
 
-// Open prepares for at most that many connections.
-func (u *Destinations) Open(most int) {
-	u.meter.most = most
-	u.idle = map[*routing.Destination][]*link{}
-}
-
 // Carry starts an attempt. It implements routing.Carrier.
 func (u *Destinations) Carry(a *routing.Attempt, done func(routing.Result)) {
 	go func() {
@@ -63,11 +67,11 @@
 	}()
 }
 
-// caught keeps a panic at its connection: the attempt ends as one that may have run.
+// caught keeps a panic at its attempt, which ends by how far it had come.
 func (u *Destinations) caught(t *task) {
 	if p := recover(); p != nil {
 		u.Log.Error("panic at a destination", "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
-		t.finish(routing.Result{Err: &routing.AttemptError{Progress: routing.WhollyWritten, Err: errPanic}})
+		t.fail(errPanic)
 	}
 }
 
@@ -79,33 +83,19 @@
 
 // run takes a task through a connection up to the last byte written; the connection's reader ends it.
 func (u *Destinations) run(ctx context.Context, d *routing.Destination, t *task, stale func() bool, text func() []byte) {
-	fail := func(p routing.Progress, err error) {
-		t.finish(routing.Result{Err: &routing.AttemptError{Progress: p, Err: err}})
-	}
 	k, err := u.connect(ctx, d, t)
 	if err != nil {
-		if errors.Is(err, errNoRoom) {
-			fail(routing.Waiting, err)
-		} else {
-			fail(routing.Connecting, err)
-		}
+		t.fail(err)
 		return
 	}
 	// What has come since the decision may forbid the send: the last look is here, before the first byte.
 	if stale() {
 		k.release(t)
-		fail(routing.Waiting, errStale)
+		t.fail(errStale)
 		return
 	}
-	stop := context.AfterFunc(ctx, func() { k.end(t, ctx.Err()) })
-	defer t.onDone(stop)
-	k.conn.SetWriteDeadline(t.deadline)
-	_, err = k.conn.Write(text())
-	if err == nil {
-		t.written.Store(true)
-		return
-	}
-	k.end(t, err)
+	t.onEnd(context.AfterFunc(ctx, func() { k.end(t, ctx.Err()) }))
+	k.write(t, text())
 }
 
 // connect gives a task a connection: the newest idle one that still stands, or a new one.
@@ -119,9 +109,12 @@
 			return k, nil
 		}
 	}
-	if !u.meter.take() && (!u.evict() || !u.meter.take()) {
-		return nil, errNoRoom
+	for !u.meter.take() {
+		if !u.evict() {
+			return nil, errNoRoom
+		}
 	}
+	t.progress = routing.Connecting
 	until := time.Now().Add(u.ConnectTimeout)
 	if t.deadline.Before(until) {
 		until = t.deadline
@@ -133,6 +126,7 @@
 		return nil, err
 	}
 	k := &link{home: u, to: d, conn: conn, machine: protocol.Machine{Answers: true}}
+	t.progress = routing.Waiting
 	k.begin(t)
 	go k.read()
 	return k, nil
@@ -162,11 +156,15 @@
 func (u *Destinations) put(k *link) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if k.to.Closed() {
-		k.conn.Close()
-		return
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case k.dead: // it ended before it came here
+	case k.to.Closed():
+		k.close()
+	default:
+		u.idle[k.to] = append(u.idle[k.to], k)
 	}
-	u.idle[k.to] = append(u.idle[k.to], k)
 }
 
 func (u *Destinations) remove(k *link) {
@@ -202,9 +200,11 @@
 		u.keep(oldest.to, u.idle[oldest.to][1:])
 	}
 	u.mu.Unlock()
-	if oldest == nil || !oldest.begin(&task{done: func(routing.Result) {}}) {
+	if oldest == nil {
 		return false
 	}
+	oldest.mu.Lock()
+	defer oldest.mu.Unlock()
 	oldest.close()
 	return true
 }
--- a/internal/transport/directory.go
+++ b/internal/transport/directory.go
@@ -25,7 +25,7 @@
 
 const (
 	beat    = 2 * time.Second // discovery sends an empty line this often while nothing changes
-	silence = 5 * beat / 2    // after this long without a line a watch is dead
+	silence = 9 * beat / 4    // after this long without a line a watch is dead: two beats are missing
 	maxList = 4 << 20         // bytes of one pool config
 )
 
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -13,44 +13,47 @@
 	"kitewood/internal/routing"
 )
 
-// Front is the front socket, which clients connect to.
+// Front is the front socket, which clients connect to. It is ready as soon as it serves: whatever clients send then
+// comes to the loop after the list that the sidecar started with.
 type Front struct {
-	Loop    *routing.Loop
-	Classes []protocol.Class
-	Log     *slog.Logger
-	Most    int         // connections that are served; a few more are told that the sidecar is busy
-	Ready   atomic.Bool // the pool config is known
+	loop    *routing.Loop
+	classes []protocol.Class
+	log     *slog.Logger
+	most    int // connections that are served; a few more are told that the sidecar is busy
 
 	draining atomic.Bool
 	mu       sync.Mutex
 	conns    map[*frontConn]struct{}
-	gone     sync.Cond // broadcast when a connection ends
+	changed  *sync.Cond // a connection has ended or become idle
+}
+
+// NewFront returns a Front that serves at most that many connections.
+func NewFront(loop *routing.Loop, classes []protocol.Class, most int, log *slog.Logger) *Front {
+	f := &Front{loop: loop, classes: classes, most: most, log: log, conns: map[*frontConn]struct{}{}}
+	f.changed = sync.NewCond(&f.mu)
+	return f
 }
 
 // lingering is how long new requests are served after the word to stop: clients learn of it late.
 const lingering = time.Second
 
 // Serve accepts connections until the listener closes.
-func (f *Front) Serve(ln net.Listener) error {
-	f.mu.Lock()
-	f.conns = map[*frontConn]struct{}{}
-	f.gone.L = &f.mu
-	f.mu.Unlock()
+func (f *Front) Serve(ln net.Listener) {
 	for {
 		f.room()
 		conn, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
-			return nil
+			return
 		}
 		if err != nil { // a lack of descriptors, say: what is being served goes on
-			f.Log.Error("accept failed", "error", err)
+			f.log.Error("accept failed", "error", err)
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
 		c := &frontConn{front: f, conn: conn, since: time.Now()}
 		f.mu.Lock()
 		f.conns[c] = struct{}{}
-		c.beyond = len(f.conns) > f.Most && !f.closeIdle()
+		c.beyond = len(f.conns) > f.most && !f.closeIdle()
 		f.mu.Unlock()
 		go c.serve()
 	}
@@ -60,9 +63,9 @@
 func (f *Front) room() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for len(f.conns) >= f.Most+overflow {
+	for len(f.conns) >= f.most+overflow {
 		f.closeIdle()
-		f.gone.Wait()
+		f.changed.Wait()
 	}
 }
 
@@ -93,11 +96,11 @@
 	ln.Close()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	defer context.AfterFunc(ctx, f.gone.Broadcast)()
+	defer context.AfterFunc(ctx, f.changed.Broadcast)()
 	for f.closeIdle() {
 	}
 	for len(f.conns) > 0 && ctx.Err() == nil {
-		f.gone.Wait()
+		f.changed.Wait()
 		for f.closeIdle() {
 		}
 	}
--- /dev/null
+++ b/internal/transport/front_test.go
@@ -0,0 +1,195 @@
+package transport
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"kitewood/balance"
+	"kitewood/internal/protocol"
+	"kitewood/internal/routing"
+)
+
+// settings are the module's for one class that is safe and one that is not.
+func settings() balance.Settings {
+	class := balance.Class{Aim: 2 * time.Second, Deadline: 2 * time.Second, Worth: 1}
+	unsafe := class
+	unsafe.Effect = balance.Unsafe
+	return balance.Settings{Seed: 1, Balancers: 1, Classes: []balance.Class{class, unsafe}, Goal: balance.Goal{Whole: 1},
+		Limits: balance.Limits{Cancel: true, RetryAfter: true, MaxAttempts: 2, MaxRetryAfter: time.Second},
+		Rules:  balance.Rules{DrainGrace: time.Second / 2, AskWithin: 10 * time.Second}}
+}
+
+// sidecar serves a front socket in front of one destination and returns its address.
+func sidecar(t *testing.T, most int, destination string) (*Front, net.Listener) {
+	t.Helper()
+	clock := routing.NewClock()
+	loop, err := routing.New(settings(), routing.Names{}, clock, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go loop.Run(ctx, destinations(clock), &Directory{Loop: loop, Log: quiet, Context: ctx})
+	loop.Pool(balance.Cached, 1, []routing.Member{{Name: "s", Address: destination, State: balance.Ready}})
+	classes := []protocol.Class{{Name: "look", Method: "GET", Deadline: 2 * time.Second},
+		{Name: "pay", Method: "POST", Deadline: 2 * time.Second}}
+	f := NewFront(loop, classes, most, quiet)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go f.Serve(ln)
+	return f, ln
+}
+
+func dial(t *testing.T, ln net.Listener) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(30 * time.Second))
+	return c, bufio.NewReader(c)
+}
+
+const look = "GET /look HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: 1\r\n\r\n"
+
+// answer reads one answer: its start line and its body.
+func answer(t *testing.T, r *bufio.Reader) (string, string) {
+	t.Helper()
+	m := protocol.Machine{Answers: true}
+	for {
+		b, err := r.ReadByte()
+		if err != nil {
+			t.Fatalf("no answer: %v", err)
+		}
+		if _, msg, err := m.Feed([]byte{b}); err != nil {
+			t.Fatal(err)
+		} else if msg != nil {
+			return msg.Start[1], string(msg.Body)
+		}
+	}
+}
+
+func echo(conn net.Conn) {
+	for text := head(conn); text != ""; text = head(conn) {
+		conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	}
+}
+
+// The next request may come before the answer. The wake-up that an answer sends must not end a later read: seen as
+// connections closed with 408 while they were idle.
+func TestManyRequestsAhead(t *testing.T) {
+	_, ln := sidecar(t, 4, server(t, echo))
+	c, r := dial(t, ln)
+	for range 100 {
+		io.WriteString(c, look+look+look)
+		for range 3 {
+			if status, body := answer(t, r); status != "200" || body != "ok" {
+				t.Fatalf("%s %q", status, body)
+			}
+		}
+	}
+	c.(*net.TCPConn).CloseWrite()
+	if rest, err := io.ReadAll(r); err != nil || len(rest) > 0 {
+		t.Errorf("%q, %v after the last answer", rest, err)
+	}
+}
+
+// A wake-up that comes late, after its answer was seen otherwise, ends neither an idle connection nor an operation.
+func TestLateWakeUp(t *testing.T) {
+	slow := make(chan struct{})
+	f, ln := sidecar(t, 4, server(t, func(conn net.Conn) {
+		head(conn)
+		<-slow
+		conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	}))
+	c, r := dial(t, ln)
+	wake := func() {
+		time.Sleep(20 * time.Millisecond)
+		f.mu.Lock()
+		for conn := range f.conns {
+			conn.conn.SetReadDeadline(time.Unix(1, 0))
+		}
+		f.mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
+	}
+	wake()
+	io.WriteString(c, look)
+	wake()
+	close(slow)
+	if status, _ := answer(t, r); status != "200" {
+		t.Errorf("answered %s", status)
+	}
+}
+
+// At the cap an idle connection makes room; where all are at work the next is told that the sidecar is busy.
+func TestFrontBudget(t *testing.T) {
+	hold := make(chan struct{})
+	held := make(chan struct{}, 2)
+	_, ln := sidecar(t, 2, server(t, func(conn net.Conn) { head(conn); held <- struct{}{}; <-hold; conn.Close() }))
+	idle, ri := dial(t, ln)
+	io.WriteString(idle, "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+	if status, _ := answer(t, ri); status != "200" {
+		t.Fatalf("ready answered %s", status)
+	}
+	for range 2 {
+		c, _ := dial(t, ln)
+		io.WriteString(c, strings.Replace(look, "GET /look", "POST /pay", 1))
+		<-held
+	}
+	if _, err := ri.ReadByte(); err != io.EOF {
+		t.Errorf("the idle connection: %v", err)
+	}
+	c, r := dial(t, ln)
+	io.WriteString(c, look)
+	if status, _ := answer(t, r); status != "503" {
+		t.Errorf("beyond the cap answered %s", status)
+	}
+	close(hold)
+}
+
+// A client that leaves takes its operation along: the attempt is called off by closing its connection.
+func TestClientLeaves(t *testing.T) {
+	came, ended := make(chan struct{}), make(chan error, 1)
+	_, ln := sidecar(t, 4, server(t, func(conn net.Conn) {
+		head(conn)
+		close(came)
+		_, err := conn.Read(make([]byte, 1))
+		ended <- err
+	}))
+	c, _ := dial(t, ln)
+	io.WriteString(c, look)
+	<-came
+	c.Close()
+	if err := <-ended; err == nil {
+		t.Error("the attempt went on")
+	}
+}
+
+// A watch gives what it is told, bad data end it and are not half believed, and each watch ends with one Lost.
+func TestWatch(t *testing.T) {
+	var got []string
+	lines := lineReader{take: func(b []byte) error { got = append(got, string(b)); return nil }}
+	for _, part := range []string{"{\"a\"", ":1}\n\n", "\r\n{}", "\nrest"} {
+		lines.add([]byte(part))
+	}
+	if strings.Join(got, "|") != `{"a":1}|{}` {
+		t.Errorf("lines %q", got)
+	}
+	for _, answer := range []string{"HTTP/1.1 503 U\r\nContent-Length: 0\r\n\r\n", "",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n{x}\n\r\n"} {
+		at := server(t, func(conn net.Conn) { head(conn); io.WriteString(conn, answer); conn.Close() })
+		d := &Directory{Address: at, Log: quiet, Context: context.Background()}
+		if err := d.watch(7); err == nil {
+			t.Errorf("%q ended without an error", answer)
+		}
+	}
+}
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -41,7 +41,8 @@
 func (c *frontConn) serve() {
 	defer c.leave()
 	buf := make([]byte, 4<<10)
-	var began time.Time // when the first byte of the present request came
+	var until time.Time // when a request that has begun must have come whole
+	promised := false   // a client that waits for it has been told to go on
 	for {
 		msg, err := c.next()
 		if err != nil {
@@ -49,49 +50,53 @@
 			return
 		}
 		if msg != nil {
-			began = time.Time{}
+			until, promised = time.Time{}, false
 			if !c.handle(msg, buf) {
 				return
 			}
 			continue
 		}
-		if c.machine.Idle() {
-			if !c.rest() {
-				return
-			}
-		} else if began.IsZero() {
-			began = time.Now()
-			c.conn.SetReadDeadline(began.Add(slowRequest))
-			if head := c.machine.Head(); head != nil && head.Header.Get("Expect") != "" {
-				c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
-			}
+		idle := c.machine.Idle()
+		if !idle && until.IsZero() {
+			until = time.Now().Add(slowRequest)
 		}
+		if head := c.machine.Head(); head != nil && !promised && head.Header.Get("Expect") != "" {
+			promised = true
+			c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		}
+		c.mark(idle)
+		// The time is set anew before each read: the wake-up of an answer may come after the answer itself was
+		// seen, and must not end a later read.
+		c.conn.SetReadDeadline(until)
 		n, err := c.conn.Read(buf)
-		c.wake()
+		c.mark(false)
 		c.ahead = append(c.ahead, buf[:n]...)
-		if err != nil && n == 0 {
-			if errors.Is(err, os.ErrDeadlineExceeded) {
+		switch {
+		case n > 0 || err == nil:
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			if !until.IsZero() && !time.Now().Before(until) {
 				c.refuse(&protocol.Error{Status: 408, Why: "the request took too long to come"})
+				return
+			}
+		default:
+			if !idle && errors.Is(err, io.EOF) {
+				_, cut := c.machine.End()
+				c.refuse(cut)
 			}
 			return
 		}
 	}
 }
 
-// rest marks the connection as idle; a stopping sidecar may close it from here on.
-func (c *frontConn) rest() bool {
-	c.conn.SetReadDeadline(time.Time{})
-	c.front.mu.Lock()
-	defer c.front.mu.Unlock()
-	c.idle = true
-	c.front.gone.Broadcast()
-	return true
-}
-
-func (c *frontConn) wake() {
+// mark notes whether the connection is idle: then it may be closed to make room, or because the sidecar stops.
+func (c *frontConn) mark(idle bool) {
 	c.front.mu.Lock()
 	defer c.front.mu.Unlock()
-	c.idle, c.since = false, time.Now()
+	if c.idle = idle; idle {
+		c.front.changed.Broadcast()
+	} else {
+		c.since = time.Now()
+	}
 }
 
 // next takes a request from what has come, nil while it is not whole.
@@ -113,18 +118,18 @@
 		r := protocol.Reply{Status: 200, Text: "ready"}
 		if m.Start[0] != "GET" {
 			r = protocol.Reply{Status: 405, Allow: "GET", Text: "this path wants GET"}
-		} else if !c.front.Ready.Load() || c.front.draining.Load() {
-			r = protocol.Reply{Status: 503, Text: "not ready"}
+		} else if c.front.draining.Load() {
+			r = protocol.Reply{Status: 503, Text: "stopping"}
 		}
 		return c.reply(r, last())
 	}
-	figures, err := protocol.ReadOperation(m, c.front.Classes)
+	figures, err := protocol.ReadOperation(m, c.front.classes)
 	if err != nil {
 		var e *protocol.Error
 		errors.As(err, &e)
 		r := protocol.Reply{Status: e.Status, Text: e.Why}
 		if e.Status == 405 {
-			r.Allow = c.front.Classes[figures.Class].Method
+			r.Allow = c.front.classes[figures.Class].Method
 		}
 		return c.reply(r, last())
 	}
@@ -136,16 +141,15 @@
 
 // operate has an operation carried out and answers it.
 func (c *frontConn) operate(m *protocol.Message, figures protocol.Operation, buf []byte, last func() bool) bool {
-	loop := c.front.Loop
+	loop := c.front.loop
 	c.answer = make(chan routing.Answer, 1)
 	op := &routing.Operation{Class: figures.Class, Deadline: loop.Now() + figures.TimeLeft, Hint: figures.Hint,
 		Repeat: figures.Repeat, Payload: m}
 	op.Done = func(a routing.Answer) {
 		c.answer <- a
-		c.conn.SetReadDeadline(time.Unix(1, 0)) // wakes the read below
+		c.conn.SetReadDeadline(time.Unix(1, 0)) // wakes the read in wait
 	}
 	c.op = op
-	c.conn.SetReadDeadline(loop.At(op.Deadline + answerGrace))
 	loop.Submit(op)
 	a, here := c.wait(buf)
 	c.op = nil
@@ -166,32 +170,40 @@
 // wait reads on until the answer is there, or tells that the client has left. Where the time is up and no answer has
 // come, the operation has failed.
 func (c *frontConn) wait(buf []byte) (routing.Answer, bool) {
-	for {
-		n, err := 0, error(nil)
-		if len(c.ahead) < maxAhead {
-			n, err = c.conn.Read(buf)
-			c.ahead = append(c.ahead, buf[:n]...)
-		} else { // the client sends far ahead: its leaving will show when the answer is written
+	until := c.front.loop.At(c.op.Deadline + answerGrace)
+	for time.Now().Before(until) {
+		if len(c.ahead) >= maxAhead { // the client sends far ahead: its leaving will show when the answer is written
 			select {
 			case a := <-c.answer:
 				return a, true
-			case <-time.After(time.Until(c.front.Loop.At(c.op.Deadline + answerGrace))):
-				err = os.ErrDeadlineExceeded
+			case <-time.After(time.Until(until)):
 			}
+			continue
 		}
+		// First the time, then a look for the answer: one that comes after the look moves the time again.
+		c.conn.SetReadDeadline(until)
 		select {
 		case a := <-c.answer:
 			return a, true
 		default:
 		}
-		if err == nil || n > 0 {
-			continue
-		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			c.front.Loop.Abandon(c.op)
-			return routing.Answer{Verdict: routing.Failed}, true
+		n, err := c.conn.Read(buf)
+		c.ahead = append(c.ahead, buf[:n]...)
+		if n == 0 && err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			select {
+			case a := <-c.answer: // the client may have closed only its own side
+				return a, true
+			default:
+				return routing.Answer{}, false
+			}
 		}
-		return routing.Answer{}, false
+	}
+	c.front.loop.Abandon(c.op)
+	select {
+	case a := <-c.answer:
+		return a, true
+	default:
+		return routing.Answer{Verdict: routing.Failed}, true
 	}
 }
 
@@ -235,15 +247,15 @@
 // leave ends the connection. A panic stops here, and the operation that it met still gets its answer.
 func (c *frontConn) leave() {
 	if p := recover(); p != nil {
-		c.front.Log.Error("panic at a front connection", "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+		c.front.log.Error("panic at a front connection", "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
 		if c.op != nil {
-			c.front.Loop.Abandon(c.op)
+			c.front.loop.Abandon(c.op)
 		}
 		c.reply(protocol.Reply{Status: 500, Text: "failed"}, true)
 	}
 	c.conn.Close()
 	c.front.mu.Lock()
 	delete(c.front.conns, c)
-	c.front.gone.Broadcast()
+	c.front.changed.Broadcast()
 	c.front.mu.Unlock()
 }
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -2,11 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
+	"runtime/debug"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,11 +20,13 @@
 	done     func(routing.Result)
 	deadline time.Time
 	probe    bool
-	written  atomic.Bool // its last byte is out: from here on it may have run
 
-	mu    sync.Mutex
-	over  bool
-	after func() bool
+	mu       sync.Mutex
+	progress routing.Progress
+	writing  bool
+	broke    error // what ended it while it was being written
+	over     bool
+	after    func() bool
 }
 
 // finish reports the end of the task, once.
@@ -41,8 +44,55 @@
 	t.done(r)
 }
 
-// onDone runs f when the task ends, or now if it has.
-func (t *task) onDone(f func() bool) {
+// fail reports that the task ended without an answer. While it is being written it waits for the end of that:
+// before, nobody knows whether the request may have run.
+func (t *task) fail(err error) {
+	t.mu.Lock()
+	if t.writing {
+		if t.broke == nil {
+			t.broke = err
+		}
+		t.mu.Unlock()
+		return
+	}
+	progress := t.progress
+	t.mu.Unlock()
+	t.finish(routing.Result{Err: &routing.AttemptError{Progress: progress, Err: err}})
+}
+
+func (t *task) startWriting() {
+	t.mu.Lock()
+	t.writing, t.progress = true, routing.PartlyWritten
+	t.mu.Unlock()
+}
+
+// wasWritten takes the end of the write, and returns what ended the task meanwhile.
+func (t *task) wasWritten(err error) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.writing = false
+	if err == nil && t.progress < routing.WhollyWritten {
+		t.progress = routing.WhollyWritten
+	}
+	if t.broke != nil {
+		return t.broke
+	}
+	return err
+}
+
+// answered notes that part of an answer has come and tells whether the request was out before.
+func (t *task) answered() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.progress >= routing.WhollyWritten {
+		t.progress = routing.Answering
+		return true
+	}
+	return false
+}
+
+// onEnd has f run when the task ends, or now if it has.
+func (t *task) onEnd(f func() bool) {
 	t.mu.Lock()
 	over := t.over
 	t.after = f
@@ -55,17 +105,16 @@
 // link is one connection to a destination. Its reader runs for as long as it stands, so the end of an idle
 // connection is seen when it comes.
 type link struct {
-	home  *Destinations
-	to    *routing.Destination
-	conn  net.Conn
-	since time.Time // idle since then
+	home *Destinations
+	to   *routing.Destination
+	conn net.Conn
+	once sync.Once
 
 	mu      sync.Mutex
 	machine protocol.Machine
-	task    *task
-	begun   bool // part of an answer has come
+	task    *task     // on its way, nil while idle
+	since   time.Time // idle since then
 	dead    bool
-	once    sync.Once
 }
 
 // begin gives an idle connection a task, if it still stands.
@@ -73,11 +122,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.dead || k.task != nil || k.broken() {
-		k.dead = true
 		k.close()
 		return false
 	}
-	k.task, k.begun = t, false
+	k.task = t
 	k.conn.SetReadDeadline(t.deadline)
 	return true
 }
@@ -89,14 +137,27 @@
 	if err != nil {
 		return true
 	}
-	var b [1]byte
+	quiet := false
 	err = raw.Control(func(fd uintptr) {
-		if n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); n >= 0 && e == nil ||
-			e != syscall.EAGAIN && e != syscall.EINTR {
-			k.dead = true
-		}
+		var b [1]byte
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = e == syscall.EAGAIN || e == syscall.EINTR
 	})
-	return k.dead || err != nil
+	return err != nil || !quiet
+}
+
+// write sends a task's request.
+func (k *link) write(t *task, text []byte) {
+	k.conn.SetWriteDeadline(t.deadline)
+	t.startWriting()
+	_, err := k.conn.Write(text)
+	k.wrote(t, err)
+}
+
+func (k *link) wrote(t *task, err error) {
+	if err := t.wasWritten(err); err != nil {
+		k.end(t, err)
+	}
 }
 
 // release gives back a connection that was not used.
@@ -118,95 +179,97 @@
 	k.conn.SetReadDeadline(k.since.Add(k.home.IdleFor))
 }
 
-// close ends the connection; whoever waits for it hears of it from the reader or from end.
+// close ends the connection. k.mu is held.
 func (k *link) close() {
+	k.dead = true
 	k.once.Do(func() {
 		k.conn.Close()
 		k.home.meter.give()
 	})
 }
 
-// end ends a task without an answer, and the connection with it.
+// end ends a task without an answer: first the connection, so that no second copy can be out, then the task.
 func (k *link) end(t *task, err error) {
 	k.mu.Lock()
-	progress := routing.PartlyWritten
-	if t.written.Load() {
-		progress = routing.WhollyWritten
-	}
-	if k.begun && k.task == t {
-		progress = routing.Answering
-	}
 	if k.task == t {
-		k.task, k.dead = nil, true
+		k.task = nil
 		k.close()
 	}
 	k.mu.Unlock()
-	t.finish(routing.Result{Err: &routing.AttemptError{Progress: progress, Err: err}})
+	t.fail(err)
 }
 
 // read takes all that comes over the connection until it ends.
 func (k *link) read() {
-	defer k.close()
-	defer k.home.remove(k)
+	defer func() {
+		if p := recover(); p != nil { // it stops here; the attempt ends as one that may have run
+			k.home.Log.Error("panic at a destination", "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+		}
+		k.mu.Lock()
+		t := k.task
+		k.task = nil
+		k.close()
+		k.mu.Unlock()
+		k.home.remove(k)
+		if t != nil {
+			t.fail(errPanic)
+		}
+	}()
 	buf := make([]byte, 4<<10)
 	for {
 		n, err := k.conn.Read(buf)
-		if !k.took(buf[:n], err) {
+		t, msg, err, stays := k.took(buf[:n], err)
+		switch {
+		case msg != nil && stays:
+			k.home.put(k)
+			t.finish(k.home.result(msg, t.probe))
+		case msg != nil:
+			t.finish(k.home.result(msg, t.probe))
+		case err != nil:
+			k.end(t, err)
+		}
+		if !stays {
 			return
 		}
 	}
 }
 
-// took handles what one read brought and tells whether the connection stays.
-func (k *link) took(p []byte, err error) bool {
+// took handles what one read brought. It returns the task with the answer or the error that ends it, and whether the
+// connection stays.
+func (k *link) took(p []byte, err error) (t *task, msg *protocol.Message, broke error, stays bool) {
 	k.mu.Lock()
-	t := k.task
-	if t == nil { // idle: bytes that nobody asked for, its end, or its time
-		k.dead = true
-		k.mu.Unlock()
-		return false
+	defer k.mu.Unlock()
+	t = k.task
+	if t == nil { // idle: its end, its time, or bytes that nobody asked for
+		k.close()
+		return nil, nil, nil, false
 	}
-	defer k.home.caught(t)
-	var msg *protocol.Message
-	used := 0
-	var broken error
+	used, early := 0, false
 	if len(p) > 0 {
-		k.begun = true
-		used, msg, broken = k.machine.Feed(p)
+		early = !t.answered()
+		used, msg, broke = k.machine.Feed(p)
 	}
-	if msg == nil && broken == nil && err != nil {
+	if msg == nil && broke == nil && err != nil {
 		if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(t.deadline) {
-			k.mu.Unlock() // the time of the rest before: the task has set its own
-			return true
+			return t, nil, nil, true // the time of the rest before: the task has set its own
 		}
-		if broken = err; errors.Is(err, io.EOF) {
+		broke = err
+		if errors.Is(err, io.EOF) {
 			if m, e := k.machine.End(); e == nil {
-				msg, broken = m, nil
+				msg, broke = m, nil
 			}
 		}
 	}
-	if msg == nil && broken == nil {
-		k.mu.Unlock()
-		return true
-	}
-	if broken != nil {
-		k.mu.Unlock()
-		k.end(t, broken)
-		return false
+	if msg == nil {
+		return t, nil, broke, broke == nil
 	}
-	// An answer before the request's end, bytes after the answer: the two sides may no longer agree where one
-	// message ends.
-	stays := err == nil && used == len(p) && !msg.Close && t.written.Load()
-	if stays {
-		k.rest()
-	} else {
-		k.task, k.dead = nil, true
+	k.task = nil
+	if early || err != nil || used < len(p) || msg.Close {
+		// An answer before the request's end, bytes after the answer: the two sides may no longer agree on where
+		// a message ends.
 		k.close()
+		return t, msg, nil, false
 	}
-	k.mu.Unlock()
-	if stays {
-		k.home.put(k)
-	}
-	t.finish(k.home.result(msg, t.probe))
-	return stays
+	k.rest()
+	return t, msg, nil, true
 }
--- /dev/null
+++ b/internal/transport/link_test.go
@@ -0,0 +1,130 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"kitewood/balance"
+	"kitewood/internal/routing"
+)
+
+// Whatever an answer says, the outcome and the fate of its connection follow.
+func TestAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name, answer string
+		status       balance.Status
+		reused       bool
+	}{
+		{"served", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", balance.OK, true},
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", balance.OK, true},
+		{"closing", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", balance.OK, false},
+		{"extra bytes", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokay", balance.OK, false},
+		{"error", "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", balance.Error, true},
+		{"turned away", "HTTP/1.1 503 U\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", balance.FullUp, true},
+		{"503 that may have run", "HTTP/1.1 503 U\r\nContent-Length: 0\r\n\r\n", balance.Error, true},
+		{"no such page", "HTTP/1.1 404 N\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", balance.Error, true},
+		{"garbage", "SMTP ready\r\n\r\n", balance.Reset, false},
+		{"cut", "", balance.Reset, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var conns atomic.Int32
+			at := server(t, func(conn net.Conn) {
+				conns.Add(1)
+				for head(conn) != "" {
+					if conn.Write([]byte(c.answer)); c.answer == "" {
+						conn.Close()
+					}
+				}
+			})
+			u, d := destinations(routing.NewClock()), &routing.Destination{Address: at}
+			first, second := probe(u, d), probe(u, d)
+			if first != c.status || second != c.status {
+				t.Errorf("ended %d, then %d; want %d", first, second, c.status)
+			}
+			if reused := conns.Load() == 1; reused != c.reused {
+				t.Errorf("connection reused: %v", reused)
+			}
+		})
+	}
+}
+
+// A connection that its peer closed while idle is not written to, and one refused is no reset.
+func TestStaleAndRefused(t *testing.T) {
+	at := server(t, func(conn net.Conn) {
+		head(conn)
+		conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+		conn.Close()
+	})
+	u, d := destinations(routing.NewClock()), &routing.Destination{Address: at}
+	for range 20 {
+		if s := probe(u, d); s != balance.OK {
+			t.Fatalf("ended %d", s)
+		}
+	}
+	if s := probe(u, &routing.Destination{Address: "127.0.0.1:1"}); s != balance.ConnectFailed {
+		t.Errorf("a refused connection ended %d", s)
+	}
+}
+
+// A call-off that meets a write must wait for its end: before that nobody knows whether the request may have run, and
+// one told as never run could go out a second time.
+func TestCancelDuringWrite(t *testing.T) {
+	here, there := net.Pipe() // a write to it ends when the other side has read
+	defer there.Close()
+	u := destinations(routing.NewClock())
+	k := &link{home: u, to: &routing.Destination{}, conn: here}
+	ended := make(chan routing.Result, 1)
+	task := &task{done: func(r routing.Result) { ended <- r }}
+	k.task = task
+	task.startWriting()
+	k.end(task, context.Canceled)
+	select {
+	case r := <-ended:
+		t.Fatalf("reported as %d while the write was on", r.Err.Status())
+	default:
+	}
+	k.wrote(task, nil)
+	if r := <-ended; r.Err.Status() != balance.Cancelled {
+		t.Errorf("ended %v", r.Err)
+	}
+	for _, c := range []struct {
+		err  routing.AttemptError
+		want balance.Status
+	}{
+		{routing.AttemptError{Progress: routing.PartlyWritten, Err: context.Canceled}, balance.Moot},
+		{routing.AttemptError{Progress: routing.PartlyWritten, Err: errors.New("broken")}, balance.ConnectFailed},
+		{routing.AttemptError{Progress: routing.WhollyWritten, Err: errors.New("broken")}, balance.Reset},
+	} {
+		if got := c.err.Status(); got != c.want {
+			t.Errorf("%v is %d, want %d", &c.err, got, c.want)
+		}
+	}
+}
+
+// At the cap the connection that has been idle longest makes room; where none is idle nothing is sent.
+func TestBudget(t *testing.T) {
+	hold, held := make(chan struct{}), make(chan struct{}, 4)
+	defer close(hold)
+	slow := server(t, func(conn net.Conn) { head(conn); held <- struct{}{}; <-hold; conn.Close() })
+	u := destinations(routing.NewClock())
+	for range 6 {
+		at := server(t, func(conn net.Conn) {
+			for head(conn) != "" {
+				conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+			}
+		})
+		if s := probe(u, &routing.Destination{Address: at}); s != balance.OK {
+			t.Fatalf("ended %d", s)
+		}
+	}
+	for range 4 {
+		u.Probe(&routing.Destination{Address: slow}, func(routing.Result) {})
+		<-held
+	}
+	if s := probe(u, &routing.Destination{Address: slow}); s != balance.Moot {
+		t.Errorf("beyond the budget ended %d", s)
+	}
+}
--- /dev/null
+++ b/internal/transport/main_test.go
@@ -0,0 +1,68 @@
+package transport
+
+import (
+	"flag"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"kitewood/balance"
+	"kitewood/internal/routing"
+)
+
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "20261201")
+	os.Exit(m.Run())
+}
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// server listens on loopback and hands each connection to a function.
+func server(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// head reads one request without a body and returns its text.
+func head(c net.Conn) string {
+	var text []byte
+	for b := make([]byte, 1); !strings.HasSuffix(string(text), "\r\n\r\n"); text = append(text, b[0]) {
+		if _, err := c.Read(b); err != nil {
+			return ""
+		}
+	}
+	return string(text)
+}
+
+func destinations(clock routing.Clock) *Destinations {
+	return NewDestinations(Options{Clock: clock, ConnectTimeout: time.Second, IdleFor: time.Minute, Most: 4, Log: quiet})
+}
+
+// probe runs one exchange and returns how it ended.
+func probe(u *Destinations, d *routing.Destination) balance.Status {
+	ended := make(chan routing.Result, 1)
+	u.Probe(d, func(r routing.Result) { ended <- r })
+	r := <-ended
+	if r.Err != nil {
+		return r.Err.Status()
+	}
+	return r.Status
+}
