--- /dev/null
+++ b/cmd/kitewood/main_test.go
@@ -0,0 +1,280 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// binary is the built sidecar, which the tests start as a deployment does.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "kitewood")
+	if err == nil {
+		binary = filepath.Join(dir, "kitewood")
+		var out []byte
+		if out, err = exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+			fmt.Printf("%s", out)
+		}
+	}
+	code := 1
+	if err == nil {
+		code = m.Run()
+	}
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// platform is what stands around one sidecar: a destination that answers by its path, and discovery.
+type platform struct {
+	t       *testing.T
+	address string
+	process *exec.Cmd
+	came    chan string   // requests at the destination
+	hold    chan struct{} // lets go of what the path "hold" holds
+	watches chan string   // from where each watch asks
+	news    chan string   // lines for the watch
+	log     strings.Builder
+	ended   chan error
+}
+
+func start(t *testing.T) *platform {
+	p := &platform{t: t, came: make(chan string, 99), hold: make(chan struct{}), watches: make(chan string, 99),
+		news: make(chan string), ended: make(chan error, 1)}
+	destination := httptest.NewServer(http.HandlerFunc(p.destination))
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.watches <- r.FormValue("since")
+		for {
+			w.(http.Flusher).Flush()
+			select {
+			case line := <-p.news:
+				io.WriteString(w, line+"\n")
+			case <-time.After(time.Second):
+				io.WriteString(w, "\n")
+			case <-r.Context().Done():
+				return
+			}
+		}
+	}))
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // a free address
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.address = ln.Addr().String()
+	ln.Close()
+	config := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+"known":{"index":1,"snapshot":true,"endpoints":[%s]},"settings":{"profiles":[
+ {"name":"look","repeat":"safe","aimS":3,"giveUpS":3,"points":1},{"name":"pay","repeat":"unsafe","aimS":3,"giveUpS":3,"points":3}],
+"permissions":{"cancel":true,"retryAfter":true,"maxRetryAfterS":2,"connIdleS":30,"connectTimeoutS":0.25,"sendCap":4},
+"invariants":{"stopSendingWithinS":0.5,"askWithinS":0.5},"registryMode":"ask","zones":["a"],"shapes":["m"]}}`,
+		p.address, discovery.Listener.Addr(), entry(destination.Listener.Addr(), "Ready"))
+	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.process = exec.Command(binary, "serve")
+	p.process.Env = append(os.Environ(), "ROUTER_CONFIG="+config)
+	p.process.Stderr = &p.log
+	if err := p.process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { p.ended <- p.process.Wait() }()
+	t.Cleanup(func() {
+		p.process.Process.Kill()
+		destination.CloseClientConnections()
+		discovery.CloseClientConnections()
+		destination.Close()
+		discovery.Close()
+	})
+	for range 1000 {
+		if r, err := http.Get("http://" + p.address + "/health/ready"); err == nil {
+			if r.Body.Close(); r.StatusCode == 200 {
+				return p
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the sidecar is never ready")
+	return nil
+}
+
+func entry(at net.Addr, status string) string {
+	return fmt.Sprintf(`{"name":"s","address":%q,"zone":"a","type":"m","group":0,"status":%q,"weight":1,"since_ms":0}`, at, status)
+}
+
+// destination answers as the second part of the path says.
+func (p *platform) destination(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	p.came <- r.Method + " " + r.RequestURI + " " + r.Header.Get("X-Correlation-Id") + " " + r.Header.Get("X-Time-Left-Ms")
+	switch what := strings.Split(r.URL.Path, "/")[2]; what {
+	case "error":
+		w.WriteHeader(500)
+	case "full":
+		w.Header().Set("X-Unprocessed", "1")
+		w.WriteHeader(503)
+	case "cut":
+		conn, _, _ := w.(http.Hijacker).Hijack()
+		conn.Close()
+	case "half":
+		w.Header().Set("Content-Length", "99")
+		io.WriteString(w, "half")
+	case "hold":
+		<-p.hold
+		io.WriteString(w, "held")
+	default:
+		w.Write(append([]byte("echo "), body...))
+	}
+}
+
+// call sends one request and returns the status, the body and the header of the answer.
+func (p *platform) call(method, path, body string) (int, string, http.Header) {
+	q, err := http.NewRequest(method, "http://"+p.address+path, strings.NewReader(body))
+	if err != nil {
+		p.t.Error(err)
+		return 0, "", nil
+	}
+	q.Header.Set("X-Correlation-Id", "9b1f")
+	q.Header.Set("X-Time-Left-Ms", "2500")
+	r, err := http.DefaultTransport.RoundTrip(q) // no client of its own accord tries again
+	if err != nil {
+		p.t.Errorf("%s %s: %v", method, path, err)
+		return 0, "", nil
+	}
+	defer r.Body.Close()
+	if r.Close { // the library takes it off the header
+		r.Header.Set("Connection", "close")
+	}
+	text, _ := io.ReadAll(r.Body)
+	return r.StatusCode, string(text), r.Header
+}
+
+func TestServing(t *testing.T) {
+	p := start(t)
+	big := strings.Repeat("\x00\xffbody", 10000)
+	if status, body, _ := p.call("POST", "/pay/echo?a=b", big); status != 200 || body != "echo "+big {
+		t.Errorf("served: %d and %d bytes", status, len(body))
+	}
+	var left int
+	if came := <-p.came; !strings.HasPrefix(came, "POST /pay/echo?a=b 9b1f ") {
+		t.Errorf("the destination got %q", came)
+	} else if fmt.Sscan(came[strings.LastIndex(came, " "):], &left); left <= 0 || left > 2500 {
+		t.Errorf("with %d ms left", left)
+	}
+	if status, _, header := p.call("GET", "/look/full", ""); status != 503 || header.Get("Retry-After") == "" {
+		t.Errorf("busy: %d, Retry-After %q", status, header.Get("Retry-After"))
+	}
+	for len(p.came) > 0 {
+		<-p.came
+	}
+	for _, what := range []string{"error", "cut", "half"} { // of an unsafe class: once each, and failed
+		if status, _, _ := p.call("POST", "/pay/"+what, "x"); status != 502 {
+			t.Errorf("%s: %d", what, status)
+		}
+		if <-p.came; len(p.came) != 0 {
+			t.Errorf("%s: sent again", what)
+		}
+	}
+	for path, want := range map[string]int{"/none": 404, "/pay": 405, "/health/ready": 200} {
+		if status, _, _ := p.call("GET", path, ""); status != want {
+			t.Errorf("GET %s: %d", path, status)
+		}
+	}
+	for text, want := range map[string]string{
+		"GARBAGE\r\n\r\n":                   "400",
+		"GET /look HTTP/1.1\r\nHost: h\r\n": "400", // cut inside the head
+		"POST /pay HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n":   "501",
+		"POST /pay HTTP/1.1\r\nHost: h\r\nContent-Length: 70000\r\n\r\n":     "413",
+		"GET /look HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("a", 20<<10): "431",
+	} {
+		c, err := net.Dial("tcp", p.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, text)
+		c.(*net.TCPConn).CloseWrite()
+		answer, _ := io.ReadAll(c)
+		if c.Close(); !strings.HasPrefix(string(answer), "HTTP/1.1 "+want) || !strings.Contains(string(answer), "Connection: close") {
+			t.Errorf("%.40q: %q", text, answer)
+		}
+	}
+	if len(p.came) != 0 {
+		t.Errorf("bad input reached the destination: %q", <-p.came)
+	}
+}
+
+// After word of a drain nothing new goes there, and what was on its way is answered; what no destination may take is
+// held for one, and answered in time.
+func TestDrain(t *testing.T) {
+	p := start(t)
+	held := make(chan string)
+	go func() { _, body, _ := p.call("POST", "/pay/hold", ""); held <- body }()
+	<-p.came
+	if since := <-p.watches; since != "1" {
+		t.Errorf("the watch asks from %s", since)
+	}
+	p.news <- fmt.Sprintf(`{"index":2,"snapshot":false,"endpoints":[%s]}`, entry(&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}, "Terminating"))
+	p.news <- "not a pool config"
+	if since := <-p.watches; since != "2" {
+		t.Errorf("after bad data the watch asks from %s", since)
+	}
+	close(p.hold)
+	if body := <-held; body != "held" {
+		t.Errorf("what was out before the drain: %q", body)
+	}
+	if status, _, header := p.call("GET", "/look/echo", ""); status != 503 || header.Get("Retry-After") == "" || len(p.came) > 0 {
+		t.Errorf("answered %d, %d sent", status, len(p.came))
+	}
+	p.process.Process.Signal(syscall.SIGTERM)
+	if err := <-p.ended; err != nil || !strings.Contains(p.log.String(), "pool config") {
+		t.Errorf("ended with %v; the log says %s", err, p.log.String())
+	}
+}
+
+// After SIGTERM what is out and what still comes is answered, with word that the connection ends; then it exits.
+func TestSIGTERM(t *testing.T) {
+	p := start(t)
+	held := make(chan string)
+	go func() { _, body, _ := p.call("POST", "/pay/hold", ""); held <- body }()
+	<-p.came
+	c, err := net.Dial("tcp", p.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.process.Process.Signal(syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond) // the signal is on its way
+	if status, _, header := p.call("GET", "/look/echo", ""); status != 200 || header.Get("Connection") != "close" {
+		t.Errorf("a new connection got %d, %v", status, header)
+	}
+	io.WriteString(c, "GET /look/echo HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: 2\r\n\r\n")
+	if text, _ := io.ReadAll(c); !strings.HasPrefix(string(text), "HTTP/1.1 200") {
+		t.Errorf("an old connection got %q", text)
+	}
+	close(p.hold)
+	if body := <-held; body != "held" {
+		t.Errorf("what was out got %q", body)
+	}
+	if err := <-p.ended; err != nil {
+		t.Errorf("ended with %v: %s", err, p.log.String())
+	}
+}
+
+func TestCommandLine(t *testing.T) {
+	for args, want := range map[string]string{"version": "kitewood " + version, "check-config": "kitewood: ROUTER_CONFIG", "serve": "kitewood: ROUTER_CONFIG"} {
+		c := exec.Command(binary, args)
+		c.Env = []string{}
+		out, err := c.CombinedOutput()
+		if !strings.HasPrefix(string(out), want) || strings.Count(string(out), "\n") != 1 || (err == nil) != (args == "version") {
+			t.Errorf("%s: %v, %q", args, err, out)
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,202 @@
+package routing
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"io"
+	"log/slog"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"kitewood/balance"
+)
+
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "20261201")
+	os.Exit(m.Run())
+}
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// fake is a Carrier and a Directory that note what they are asked for.
+type fake struct {
+	carried chan *Attempt
+	done    chan func(Result)
+	watched chan int64
+	closed  chan *Destination
+}
+
+func (f *fake) Carry(a *Attempt, done func(Result))     { f.done <- done; f.carried <- a }
+func (f *fake) Probe(_ *Destination, done func(Result)) { done(Result{Status: balance.OK}) }
+func (f *fake) CloseIdle(d *Destination)                { f.closed <- d }
+func (f *fake) Follow(since int64)                      { f.watched <- since }
+
+// start runs a Loop over a fake, with one class that is unsafe, and two destinations.
+func start(t testing.TB, limits balance.Limits) (*Loop, *fake) {
+	class := balance.Class{Aim: 5 * time.Second, Deadline: 5 * time.Second, Worth: 1, Effect: balance.Unsafe}
+	l, err := New(balance.Settings{Balancers: 1, Classes: []balance.Class{class}, Limits: limits, Ask: true,
+		Rules: balance.Rules{DrainGrace: time.Second / 2, AskWithin: 80 * time.Millisecond}}, Names{}, NewClock(), quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fake{make(chan *Attempt, 99), make(chan func(Result), 99), make(chan int64, 99), make(chan *Destination, 99)}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go l.Run(ctx, f, f)
+	l.Pool(balance.Cached, 4, []Member{{Name: "b", Address: "b:1", State: balance.Ready}, {Name: "a", Address: "a:1",
+		State: balance.Ready}})
+	return l, f
+}
+
+func submit(l *Loop, left time.Duration) (*Operation, chan Answer) {
+	answers := make(chan Answer, 9)
+	op := &Operation{Deadline: l.Now() + left, Done: func(a Answer) { answers <- a }}
+	l.Submit(op)
+	return op, answers
+}
+
+// sync waits until the Loop has handled all that was reported before.
+func sync(l *Loop) {
+	done := make(chan struct{})
+	l.post(func() { close(done) })
+	<-done
+}
+
+var limits = balance.Limits{MaxAttempts: 3, Cancel: true, RetryAfter: true, MaxRetryAfter: time.Second}
+
+// What never ran goes out again, elsewhere, and only when the first is over; what may have run does not.
+func TestOutcomes(t *testing.T) {
+	never := &AttemptError{Connecting, errors.New("refused")}
+	maybe := &AttemptError{WhollyWritten, errors.New("reset")}
+	l, f := start(t, limits)
+	_, answers := submit(l, time.Minute)
+	first := <-f.carried
+	(<-f.done)(Result{Err: never})
+	second := <-f.carried
+	if first.Destination == second.Destination || first.Context.Err() == nil {
+		t.Error("the second attempt goes to the first's destination, or the first is not over")
+	}
+	(<-f.done)(Result{Err: maybe})
+	if a := <-answers; a.Verdict != Failed {
+		t.Errorf("answered %d after a reset", a.Verdict)
+	}
+	_, answers = submit(l, time.Minute)
+	<-f.carried
+	done := <-f.done
+	done(Result{Status: balance.OK, Payload: 1})
+	done(Result{Status: balance.OK, Payload: 2}) // a carrier that says it twice is not believed
+	if a := <-answers; a.Verdict != Served || a.Payload != 1 {
+		t.Errorf("answered %+v", a)
+	}
+	sync(l)
+	if len(f.carried) > 0 || len(answers) > 0 || l.Owed() != 0 || len(l.ops) != 0 {
+		t.Errorf("left over: %d attempts, %d answers, %d owed, %d kept", len(f.carried), len(answers), l.Owed(), len(l.ops))
+	}
+}
+
+// What the module gives up is answered at once, with its advice when to come back.
+func TestBusyAtOnce(t *testing.T) {
+	l, f := start(t, limits)
+	_, answers := submit(l, time.Hour)
+	for range limits.MaxAttempts {
+		<-f.carried
+		(<-f.done)(Result{Status: balance.FullUp})
+	}
+	if a := <-answers; a.Verdict != Busy || a.RetryAfter != time.Second {
+		t.Errorf("answered %+v", a)
+	}
+}
+
+// An attempt that was decided before the news of a drain must not start after it; nor one whose client has left.
+func TestStale(t *testing.T) {
+	l, f := start(t, limits)
+	op, _ := submit(l, time.Minute)
+	a := <-f.carried
+	if a.Stale() {
+		t.Error("a fresh attempt is stale")
+	}
+	l.Pool(balance.Delta, 5, []Member{{Name: a.Destination.Name, Address: a.Destination.Address, State: balance.Draining}})
+	if d := <-f.closed; d != a.Destination || !a.Stale() {
+		t.Error("an attempt to a draining destination may start")
+	}
+	(<-f.done)(Result{Err: &AttemptError{Waiting, errNotSent}})
+	b := <-f.carried
+	if b.Destination == a.Destination || b.Stale() {
+		t.Error("the draining destination was chosen again")
+	}
+	l.Abandon(op)
+	<-b.Context.Done()
+	if !b.Stale() {
+		t.Error("an attempt for nobody may start")
+	}
+	(<-f.done)(Result{Err: &AttemptError{WhollyWritten, context.Canceled}})
+	sync(l)
+	if l.Owed() != 0 || len(l.ops) != 0 {
+		t.Error("an operation that its client left is kept")
+	}
+}
+
+// A panic in an event is the end of that event alone, and the operation that it met has its answer.
+func TestPanic(t *testing.T) {
+	l, f := start(t, limits)
+	_, answers := submit(l, time.Minute)
+	<-f.carried
+	l.post(func() { l.balancer = nil })
+	(<-f.done)(Result{Status: balance.Error})
+	if a := <-answers; a.Verdict != Failed {
+		t.Errorf("answered %+v", a)
+	}
+	sync(l)
+}
+
+// The watch opens from the list that is known, and again, from the last one told, after it is lost.
+func TestWatch(t *testing.T) {
+	l, f := start(t, limits)
+	if since := <-f.watched; since != 4 {
+		t.Errorf("watched from %d", since)
+	}
+	l.Pool(balance.Full, 9, []Member{{Name: "a", Address: "a:1", State: balance.Ready}})
+	l.Lost()
+	if since := <-f.watched; since != 9 {
+		t.Errorf("watched again from %d", since)
+	}
+	if d := <-f.closed; d.Name != "b" || !d.Closed() {
+		t.Errorf("%s is closed to, not the one that the whole list left out", d.Name)
+	}
+}
+
+// Ids are a hash of the name: the same whatever order the names come in, and never shared.
+func TestIDs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := rapid.SliceOfNDistinct(rapid.String(), 1, 30, rapid.ID[string]).Draw(t, "names")
+		p, q := newPool(), newPool()
+		for i := range names {
+			p.name(names[i])
+			q.name(names[len(names)-1-i])
+		}
+		for _, n := range names {
+			if p.name(n).ID != q.name(n).ID || p.byID[p.name(n).ID].Name != n {
+				t.Fatalf("%q has the ids %d and %d", n, p.name(n).ID, q.name(n).ID)
+			}
+		}
+	})
+	p := newPool() // two names with one hash
+	if x, y := p.name("costarring"), p.name("liquid"); x.ID == y.ID || p.byID[x.ID] != x || p.byID[y.ID] != y {
+		t.Error("a collision shares an id")
+	}
+}
+
+// The clock is Unix time and runs with time.
+func TestClock(t *testing.T) {
+	c := NewClock()
+	if now := time.Duration(time.Now().UnixNano()); c.Now() > now+time.Minute || c.Now() < now-time.Minute {
+		t.Errorf("%v is not Unix time", c.Now())
+	}
+	if at := c.At(c.Now()); time.Until(at) > time.Minute || time.Since(at) > time.Minute {
+		t.Errorf("%v is not now", at)
+	}
+}
