Share out the descriptors in proportion, so that small budgets serve

Checked: NewBudget took 48 off whatever the limit was (reserve and overflow), which left the front seven connections of 64; the rest of the clients were told busy. Ruled out: memory (4 MB) and CPU (0.1 s).

TestNewBudget fails without the fix.

--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -41,7 +41,7 @@
 		return err
 	}
 	directory := &transport.Directory{Address: c.Discovery, Loop: loop, Log: log, Context: ctx}
-	front := transport.NewFront(loop, c.Classes, budget.Front, log)
+	front := transport.NewFront(loop, c.Classes, budget, log)
 
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
--- a/internal/transport/budget.go
+++ b/internal/transport/budget.go
@@ -5,25 +5,29 @@
 import "sync"
 
 // Budget shares out the descriptors of the process.
-type Budget struct{ Front, Destinations int }
+type Budget struct {
+	Front        int // connections of clients that are served
+	Overflow     int // further ones that are told that the sidecar is busy
+	Destinations int // connections to destinations
+}
 
-// reserve is kept for the standard streams, the listener, the poller, discovery, and for telling clients beyond the
-// front's part that the sidecar is busy.
-const reserve = 32 + overflow
+// reserve is kept for the standard streams, the poller, the listener, the watches of discovery and files.
+const reserve = 14
 
-// overflow is how many connections beyond the front's part are answered busy at a time.
-const overflow = 16
+// MinSockets is the least number of descriptors that a sidecar can work with.
+const MinSockets = reserve + 10
 
 // NewBudget divides the descriptors that a process may hold. An operation holds one of the front's and at most one of
-// the destinations' at a time, and those being closed linger a moment, so the latter get the larger half.
+// the destinations' at a time, and those being closed linger a moment, so the latter get the larger part.
 func NewBudget(sockets int) Budget {
-	free := max(sockets-reserve, 4)
-	return Budget{Front: free * 9 / 20, Destinations: free - free*9/20}
+	// The overflow shrinks with the whole: taken from 64 as from 1,024 it left the clients seven connections.
+	b := Budget{Overflow: min(2+sockets/64, 16)}
+	free := max(sockets-reserve-b.Overflow, 2)
+	b.Front = free * 9 / 20
+	b.Destinations = free - b.Front
+	return b
 }
 
-// MinSockets is the least number of descriptors that a sidecar can work with.
-const MinSockets = reserve + 4
-
 // meter counts what is open of one part of the budget.
 type meter struct {
 	mu   sync.Mutex
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -19,7 +19,7 @@
 	loop    *routing.Loop
 	classes []protocol.Class
 	log     *slog.Logger
-	most    int // connections that are served; a few more are told that the sidecar is busy
+	budget  Budget
 
 	draining atomic.Bool
 	mu       sync.Mutex
@@ -27,9 +27,9 @@
 	changed  *sync.Cond // a connection has ended or become idle
 }
 
-// NewFront returns a Front that serves at most that many connections.
-func NewFront(loop *routing.Loop, classes []protocol.Class, most int, log *slog.Logger) *Front {
-	f := &Front{loop: loop, classes: classes, most: most, log: log, conns: map[*frontConn]struct{}{}}
+// NewFront returns a Front that keeps to its part of a budget.
+func NewFront(loop *routing.Loop, classes []protocol.Class, budget Budget, log *slog.Logger) *Front {
+	f := &Front{loop: loop, classes: classes, budget: budget, log: log, conns: map[*frontConn]struct{}{}}
 	f.changed = sync.NewCond(&f.mu)
 	return f
 }
@@ -53,7 +53,7 @@
 		c := &frontConn{front: f, conn: conn, since: time.Now()}
 		f.mu.Lock()
 		f.conns[c] = struct{}{}
-		c.beyond = len(f.conns) > f.most && !f.closeIdle()
+		c.beyond = len(f.conns) > f.budget.Front && !f.closeIdle()
 		f.mu.Unlock()
 		go c.serve()
 	}
@@ -63,7 +63,7 @@
 func (f *Front) room() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for len(f.conns) >= f.most+overflow {
+	for len(f.conns) >= f.budget.Front+f.budget.Overflow {
 		f.closeIdle()
 		f.changed.Wait()
 	}
--- a/internal/transport/front_test.go
+++ b/internal/transport/front_test.go
@@ -38,7 +38,7 @@
 	loop.Pool(balance.Cached, 1, []routing.Member{{Name: "s", Address: destination, State: balance.Ready}})
 	classes := []protocol.Class{{Name: "look", Method: "GET", Deadline: 2 * time.Second},
 		{Name: "pay", Method: "POST", Deadline: 2 * time.Second}}
-	f := NewFront(loop, classes, most, quiet)
+	f := NewFront(loop, classes, Budget{Front: most, Overflow: 2}, quiet)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/transport/link_test.go
+++ b/internal/transport/link_test.go
@@ -128,3 +128,13 @@
 		t.Errorf("beyond the budget ended %d", s)
 	}
 }
+
+// However few the descriptors are, most of them serve, and the parts keep to the whole.
+func TestNewBudget(t *testing.T) {
+	for sockets := MinSockets; sockets < 3000; sockets++ {
+		b := NewBudget(sockets)
+		if b.Front+b.Overflow+b.Destinations+reserve > sockets || b.Destinations < b.Front || b.Front < (sockets-reserve)/3 {
+			t.Fatalf("%d are shared out as %+v", sockets, b)
+		}
+	}
+}
