Bound the memory that slow clients take, and pass bodies on without a copy

Seen: a probe on loopback with 440 clients that each sent all but the end of a 64 KiB request took 142 MB of 192 before any destination had answered; answers of that size would have come on top, past the limit.

Lines to blame: Machine.takeHead kept a 16 KiB buffer for every idle connection; bodies grew by doubling; AppendRequest and AppendServed made a second copy of each body.

--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -29,7 +29,7 @@
 	defer signal.Stop(signals)
 
 	clock := routing.NewClock()
-	budget := transport.NewBudget(c.Sockets)
+	budget := transport.NewBudget(c.Sockets, int64(c.MemoryMB)<<20)
 	options := transport.Options{Clock: clock, ConnectTimeout: c.ConnTimeout, IdleFor: c.ConnIdle * 7 / 10,
 		Most: budget.Destinations, Fields: c.LoadFields, ProbePath: "/health/live", Log: log}
 	if c.Module.Report.Via != balance.NoReports {
--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -152,6 +152,10 @@
 	if len(m.msg.Body)+len(p) > MaxBody {
 		return bad(413, "the body is over %d bytes", MaxBody)
 	}
+	// A body grows with what comes, not with what is promised: whoever wants 64 KiB kept has sent a quarter of them.
+	if b := m.msg.Body; len(b)+len(p) > cap(b) && m.step == inBody && len(b)+len(p) >= MaxBody/4 {
+		m.msg.Body = append(make([]byte, 0, len(b)+len(p)+m.left), b...)
+	}
 	m.msg.Body = append(m.msg.Body, p...)
 	return nil
 }
@@ -186,7 +190,9 @@
 	if err != nil {
 		return room, false, err
 	}
-	m.buf = m.buf[:0]
+	if m.buf = m.buf[:0]; cap(m.buf) > 4<<10 {
+		m.buf = nil // many connections stand idle: none keeps a large buffer
+	}
 	m.msg = msg
 	done, err := m.frame(msg)
 	return end - old, done, err
@@ -327,7 +333,7 @@
 			return true, nil
 		}
 		if m.OnBody == nil {
-			msg.Body = make([]byte, 0, min(int(n), 4<<10)) // grows with what comes, not with what is promised
+			msg.Body = make([]byte, 0, min(int(n), 4<<10))
 		}
 		return false, nil
 	case m.Answers:
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -96,12 +96,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		out, err := feed(&Machine{}, AppendRequest(nil, in[0], 1500*time.Millisecond))
+		out, err := feed(&Machine{}, RequestHead(in[0], 1500*time.Millisecond), in[0].Body)
 		if err != nil || out[0].Start != in[0].Start || !bytes.Equal(out[0].Body, body) ||
 			out[0].Header.Get(headerTimeLeft) != "1500" || out[0].Header.Get(headerFacts) != "a=1,b=2" {
 			t.Fatalf("%v %+v", err, out)
 		}
-		answer, err := feed(&Machine{Answers: true}, AppendServed(nil, in[0], true))
+		answer, err := feed(&Machine{Answers: true}, ServedHead(in[0], true), in[0].Body)
 		if err != nil || answer[0].Status() != 200 || !answer[0].Close || !bytes.Equal(answer[0].Body, body) {
 			t.Fatalf("%v %+v", err, answer)
 		}
--- a/internal/protocol/write.go
+++ b/internal/protocol/write.go
@@ -23,32 +23,32 @@
 	return b
 }
 
-// AppendRequest writes a client's request for a destination.
-func AppendRequest(b []byte, m *Message, timeLeft time.Duration) []byte {
+// RequestHead is the head of a client's request for a destination. The body follows as it is, so that no copy of it is
+// made.
+func RequestHead(m *Message, timeLeft time.Duration) []byte {
 	host := "backend.local"
 	if h := m.Header["Host"]; len(h) == 1 {
 		host = h[0]
 	}
-	b = append(b, m.Start[0]+" "+m.Start[1]+" HTTP/1.1\r\nHost: "+host+"\r\n"...)
+	b := []byte(m.Start[0] + " " + m.Start[1] + " HTTP/1.1\r\nHost: " + host + "\r\n")
 	b = appendFields(b, m.Header)
 	b = append(append(b, headerTimeLeft+": "...), strconv.FormatInt(max(timeLeft.Milliseconds(), 0), 10)...)
 	b = append(b, "\r\n"...)
 	if len(m.Body) > 0 || m.Start[0] != "GET" {
 		b = appendLength(b, len(m.Body))
 	}
-	return append(append(b, "\r\n"...), m.Body...)
+	return append(b, "\r\n"...)
 }
 
-// AppendGet writes a request of the sidecar's own.
-func AppendGet(b []byte, host, target string) []byte {
-	return append(b, "GET "+target+" HTTP/1.1\r\nHost: "+host+"\r\n\r\n"...)
+// GetText is a request of the sidecar's own.
+func GetText(host, target string) []byte {
+	return []byte("GET " + target + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n")
 }
 
-// AppendServed passes on a destination's answer.
-func AppendServed(b []byte, m *Message, last bool) []byte {
-	b = append(b, "HTTP/1.1 200 OK\r\n"...)
-	b = appendFields(b, m.Header)
-	return finish(b, m.Body, last)
+// ServedHead is the head of a destination's answer for the client. The body follows as it is.
+func ServedHead(m *Message, last bool) []byte {
+	b := appendFields([]byte("HTTP/1.1 200 OK\r\n"), m.Header)
+	return appendEnd(b, len(m.Body), last)
 }
 
 // Reply is an answer that the sidecar words itself.
@@ -56,12 +56,12 @@
 	Status     int
 	RetryAfter time.Duration // 0 for none
 	Allow      string        // the method that a 405 wants
-	Text       string
+	Why        string        // its body
 }
 
-// AppendReply writes an answer of the sidecar's own.
-func AppendReply(b []byte, r Reply, last bool) []byte {
-	b = append(b, "HTTP/1.1 "+strconv.Itoa(r.Status)+" "+reason(r.Status)+"\r\n"...)
+// Text is the whole answer.
+func (r Reply) Text(last bool) []byte {
+	b := []byte("HTTP/1.1 " + strconv.Itoa(r.Status) + " " + reason(r.Status) + "\r\n")
 	if r.RetryAfter > 0 {
 		b = append(b, "Retry-After: "+strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', -1, 64)+"\r\n"...)
 	}
@@ -69,15 +69,14 @@
 		b = append(b, "Allow: "+r.Allow+"\r\n"...)
 	}
 	b = append(b, "Content-Type: text/plain; charset=utf-8\r\n"...)
-	return finish(b, []byte(r.Text+"\n"), last)
+	return append(appendEnd(b, len(r.Why)+1, last), r.Why+"\n"...)
 }
 
-func finish(b, body []byte, last bool) []byte {
+func appendEnd(b []byte, length int, last bool) []byte {
 	if last {
 		b = append(b, "Connection: close\r\n"...)
 	}
-	b = append(appendLength(b, len(body)), "\r\n"...)
-	return append(b, body...)
+	return append(appendLength(b, length), "\r\n"...)
 }
 
 func appendLength(b []byte, n int) []byte {
--- a/internal/transport/budget.go
+++ b/internal/transport/budget.go
@@ -17,14 +17,19 @@
 // MinSockets is the least number of descriptors that a sidecar can work with.
 const MinSockets = reserve + 10
 
+// worst is what a connection of a client may take, with its operation: the request and the answer at their largest.
+const worst = 192 << 10
+
 // NewBudget divides the descriptors that a process may hold. An operation holds one of the front's and at most one of
 // the destinations' at a time, and those being closed linger a moment, so the latter get the larger part.
-func NewBudget(sockets int) Budget {
+func NewBudget(sockets int, memory int64) Budget {
 	// The overflow shrinks with the whole: taken from 64 as from 1,024 it left the clients seven connections.
 	b := Budget{Overflow: min(2+sockets/64, 16)}
 	free := max(sockets-reserve-b.Overflow, 2)
 	b.Front = free * 9 / 20
 	b.Destinations = free - b.Front
+	// Clients that are slow to send and to read, all at once, must not take the memory of the others.
+	b.Front = min(b.Front, int(memory*6/10/worst))
 	return b
 }
 
--- a/internal/transport/destinations.go
+++ b/internal/transport/destinations.go
@@ -50,8 +50,9 @@
 	go func() {
 		t := &task{done: done, deadline: u.Clock.At(a.Deadline)}
 		defer u.caught(t)
-		u.run(a.Context, a.Destination, t, a.Stale, func() []byte {
-			return protocol.AppendRequest(nil, a.Op.Payload.(*protocol.Message), a.Left())
+		u.run(a.Context, a.Destination, t, a.Stale, func() net.Buffers {
+			m := a.Op.Payload.(*protocol.Message)
+			return net.Buffers{protocol.RequestHead(m, a.Left()), m.Body}
 		})
 	}()
 }
@@ -61,8 +62,8 @@
 	go func() {
 		t := &task{done: done, deadline: time.Now().Add(probeTimeout), probe: true}
 		defer u.caught(t)
-		u.run(context.Background(), d, t, func() bool { return false }, func() []byte {
-			return protocol.AppendGet(nil, d.Address, u.ProbePath)
+		u.run(context.Background(), d, t, func() bool { return false }, func() net.Buffers {
+			return net.Buffers{protocol.GetText(d.Address, u.ProbePath)}
 		})
 	}()
 }
@@ -82,7 +83,7 @@
 )
 
 // run takes a task through a connection up to the last byte written; the connection's reader ends it.
-func (u *Destinations) run(ctx context.Context, d *routing.Destination, t *task, stale func() bool, text func() []byte) {
+func (u *Destinations) run(ctx context.Context, d *routing.Destination, t *task, stale func() bool, text func() net.Buffers) {
 	k, err := u.connect(ctx, d, t)
 	if err != nil {
 		t.fail(err)
--- a/internal/transport/directory.go
+++ b/internal/transport/directory.go
@@ -58,7 +58,7 @@
 	defer context.AfterFunc(d.Context, func() { conn.Close() })()
 	target := fmt.Sprintf("/registry/instances?follow=1&since=%d", since)
 	conn.SetDeadline(time.Now().Add(silence))
-	if _, err := conn.Write(protocol.AppendGet(nil, d.Address, target)); err != nil {
+	if _, err := conn.Write(protocol.GetText(d.Address, target)); err != nil {
 		return err
 	}
 	lines := lineReader{take: d.line}
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -115,11 +115,11 @@
 func (c *frontConn) handle(m *protocol.Message, buf []byte) bool {
 	last := func() bool { return m.Close || c.beyond || c.front.draining.Load() }
 	if m.Start[1] == "/health/ready" {
-		r := protocol.Reply{Status: 200, Text: "ready"}
+		r := protocol.Reply{Status: 200, Why: "ready"}
 		if m.Start[0] != "GET" {
-			r = protocol.Reply{Status: 405, Allow: "GET", Text: "this path wants GET"}
+			r = protocol.Reply{Status: 405, Allow: "GET", Why: "this path wants GET"}
 		} else if c.front.draining.Load() {
-			r = protocol.Reply{Status: 503, Text: "stopping"}
+			r = protocol.Reply{Status: 503, Why: "stopping"}
 		}
 		return c.reply(r, last())
 	}
@@ -127,14 +127,14 @@
 	if err != nil {
 		var e *protocol.Error
 		errors.As(err, &e)
-		r := protocol.Reply{Status: e.Status, Text: e.Why}
+		r := protocol.Reply{Status: e.Status, Why: e.Why}
 		if e.Status == 405 {
 			r.Allow = c.front.classes[figures.Class].Method
 		}
 		return c.reply(r, last())
 	}
 	if c.beyond {
-		return c.reply(protocol.Reply{Status: 503, Text: "busy: too many connections"}, true)
+		return c.reply(protocol.Reply{Status: 503, Why: "busy: too many connections"}, true)
 	}
 	return c.operate(m, figures, buf, last)
 }
@@ -160,11 +160,12 @@
 	close := last()
 	switch a.Verdict {
 	case routing.Served:
-		return c.send(protocol.AppendServed(nil, a.Payload.(*protocol.Message), close), close)
+		served := a.Payload.(*protocol.Message)
+		return c.send(close, protocol.ServedHead(served, close), served.Body)
 	case routing.Busy:
-		return c.reply(protocol.Reply{Status: 503, RetryAfter: a.RetryAfter, Text: "busy"}, close)
+		return c.reply(protocol.Reply{Status: 503, RetryAfter: a.RetryAfter, Why: "busy"}, close)
 	}
-	return c.reply(protocol.Reply{Status: 502, Text: "failed"}, close)
+	return c.reply(protocol.Reply{Status: 502, Why: "failed"}, close)
 }
 
 // wait reads on until the answer is there, or tells that the client has left. Where the time is up and no answer has
@@ -211,17 +212,17 @@
 func (c *frontConn) refuse(err error) {
 	var e *protocol.Error
 	if errors.As(err, &e) {
-		c.reply(protocol.Reply{Status: e.Status, Text: e.Why}, true)
+		c.reply(protocol.Reply{Status: e.Status, Why: e.Why}, true)
 	}
 }
 
 func (c *frontConn) reply(r protocol.Reply, last bool) bool {
-	return c.send(protocol.AppendReply(nil, r, last), last)
+	return c.send(last, r.Text(last))
 }
 
 // send writes an answer and tells whether the connection stays.
-func (c *frontConn) send(text []byte, last bool) bool {
-	if !c.write(text) {
+func (c *frontConn) send(last bool, parts ...[]byte) bool {
+	if !c.write(parts...) {
 		return false
 	}
 	if last {
@@ -230,9 +231,10 @@
 	return !last
 }
 
-func (c *frontConn) write(text []byte) bool {
+func (c *frontConn) write(parts ...[]byte) bool {
 	c.conn.SetWriteDeadline(time.Now().Add(slowAnswer))
-	_, err := c.conn.Write(text)
+	text := net.Buffers(parts)
+	_, err := text.WriteTo(c.conn)
 	return err == nil
 }
 
@@ -251,7 +253,7 @@
 		if c.op != nil {
 			c.front.loop.Abandon(c.op)
 		}
-		c.reply(protocol.Reply{Status: 500, Text: "failed"}, true)
+		c.reply(protocol.Reply{Status: 500, Why: "failed"}, true)
 	}
 	c.conn.Close()
 	c.front.mu.Lock()
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -147,10 +147,10 @@
 }
 
 // write sends a task's request.
-func (k *link) write(t *task, text []byte) {
+func (k *link) write(t *task, text net.Buffers) {
 	k.conn.SetWriteDeadline(t.deadline)
 	t.startWriting()
-	_, err := k.conn.Write(text)
+	_, err := text.WriteTo(k.conn)
 	k.wrote(t, err)
 }
 
--- a/internal/transport/link_test.go
+++ b/internal/transport/link_test.go
@@ -132,9 +132,12 @@
 // However few the descriptors are, most of them serve, and the parts keep to the whole.
 func TestNewBudget(t *testing.T) {
 	for sockets := MinSockets; sockets < 3000; sockets++ {
-		b := NewBudget(sockets)
+		b := NewBudget(sockets, 1<<30)
 		if b.Front+b.Overflow+b.Destinations+reserve > sockets || b.Destinations < b.Front || b.Front < (sockets-reserve)/3 {
 			t.Fatalf("%d are shared out as %+v", sockets, b)
 		}
 	}
+	if b := NewBudget(1024, 32<<20); b.Front*worst > 32<<20 {
+		t.Errorf("%+v takes more than 32 MB", b)
+	}
 }
