Take no prompt answer for an early one, and format the front connection

Lines to blame: link.took counted an answer as early when the goroutine that writes had not yet run on from its write (task.written).

Fix: an answer waits for the end of the write, 250 ms at the most, before it counts as early.

--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -148,7 +148,7 @@
 	op := &routing.Operation{Class: figures.Class, Deadline: loop.Now() + figures.TimeLeft, Hint: figures.Hint,
 		Repeat: figures.Repeat, Payload: m}
 	op.Done = func(a routing.Answer) {
-		answer <- a // not c.answer: a late answer must not reach the next operation
+		answer <- a                             // not c.answer: a late answer must not reach the next operation
 		c.conn.SetReadDeadline(time.Unix(1, 0)) // wakes the read in wait
 	}
 	c.op = op
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -24,7 +24,8 @@
 	mu       sync.Mutex
 	progress routing.Progress
 	writing  bool
-	broke    error // what ended it while it was being written
+	wrote    chan struct{} // closed when the write has ended
+	broke    error         // what ended it while it was being written
 	over     bool
 	after    func() bool
 }
@@ -62,7 +63,7 @@
 
 func (t *task) startWriting() {
 	t.mu.Lock()
-	t.writing, t.progress = true, routing.PartlyWritten
+	t.writing, t.progress, t.wrote = true, routing.PartlyWritten, make(chan struct{})
 	t.mu.Unlock()
 }
 
@@ -71,6 +72,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.writing = false
+	close(t.wrote)
 	if err == nil && t.progress < routing.WhollyWritten {
 		t.progress = routing.WhollyWritten
 	}
@@ -80,6 +82,23 @@
 	return err
 }
 
+// settle guards against taking a prompt answer for an early one: it can come before the goroutine that wrote the
+// request has run on from its write. A connection was closed for nothing then, and the next request paid for a new one.
+func (t *task) settle() {
+	t.mu.Lock()
+	writing, wrote := t.writing, t.wrote
+	t.mu.Unlock()
+	if writing {
+		select {
+		case <-wrote:
+		case <-time.After(writeGrace):
+		}
+	}
+}
+
+// writeGrace is how long an answer waits for the end of its request's write before it counts as early.
+const writeGrace = time.Second / 4
+
 // answered notes that part of an answer has come and tells whether the request was out before.
 func (t *task) answered() bool {
 	t.mu.Lock()
@@ -218,6 +237,9 @@
 	buf := make([]byte, 4<<10)
 	for {
 		n, err := k.conn.Read(buf)
+		if t := k.current(); t != nil && n > 0 {
+			t.settle()
+		}
 		t, msg, err, stays := k.took(buf[:n], err)
 		switch {
 		case msg != nil && stays:
@@ -234,6 +256,12 @@
 	}
 }
 
+func (k *link) current() *task {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.task
+}
+
 // took handles what one read brought. It returns the task with the answer or the error that ends it, and whether the
 // connection stays.
 func (k *link) took(p []byte, err error) (t *task, msg *protocol.Message, broke error, stays bool) {
--- a/internal/transport/link_test.go
+++ b/internal/transport/link_test.go
@@ -53,16 +53,19 @@
 
 // A connection that its peer closed while idle is not written to, and one refused is no reset.
 func TestStaleAndRefused(t *testing.T) {
+	closed := make(chan struct{})
 	at := server(t, func(conn net.Conn) {
 		head(conn)
 		conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
 		conn.Close()
+		closed <- struct{}{}
 	})
 	u, d := destinations(routing.NewClock()), &routing.Destination{Address: at}
 	for range 20 {
 		if s := probe(u, d); s != balance.OK {
 			t.Fatalf("ended %d", s)
 		}
+		<-closed
 	}
 	if s := probe(u, &routing.Destination{Address: "127.0.0.1:1"}); s != balance.ConnectFailed {
 		t.Errorf("a refused connection ended %d", s)
@@ -104,6 +107,16 @@
 	}
 }
 
+// A prompt answer can be read before the write's end is noted; it waits for that, and is no early one.
+func TestPromptAnswer(t *testing.T) {
+	task := &task{}
+	task.startWriting()
+	go task.wasWritten(nil)
+	if task.settle(); !task.answered() {
+		t.Error("a prompt answer counts as early")
+	}
+}
+
 // At the cap the connection that has been idle longest makes room; where none is idle nothing is sent.
 func TestBudget(t *testing.T) {
 	hold, held := make(chan struct{}), make(chan struct{}, 4)
