--- a/internal/transport/front_test.go
+++ b/internal/transport/front_test.go
@@ -230,3 +230,25 @@
 		}
 	}
 }
+
+// A panic stops where it happens: its operation has an answer, its connection an end, and the rest goes on.
+func TestPanics(t *testing.T) {
+	f, _ := sidecar(t, 4, server(t, echo))
+	answers := make(chan routing.Answer, 1)
+	f.loop.Submit(&routing.Operation{Deadline: f.loop.Now() + time.Minute, Payload: "no message",
+		Done: func(a routing.Answer) { answers <- a }})
+	if a := <-answers; a.Verdict == routing.Served {
+		t.Errorf("answered %+v", a)
+	}
+	f, ln := sidecar(t, 4, server(t, echo))
+	f.mu.Lock()
+	f.loop = nil
+	f.mu.Unlock()
+	for _, c := range []struct{ text, want string }{{look, "500"}, {"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n", "200"}} {
+		conn, r := dial(t, ln)
+		io.WriteString(conn, c.text)
+		if status, _ := answer(t, r); status != c.want {
+			t.Errorf("%.12q answered %s", c.text, status)
+		}
+	}
+}
