Move the watch of discovery at SIGHUP instead of ending

Cause: program.Serve asked for SIGTERM and SIGINT alone, so SIGHUP had its default action; and the environment's discovery went before the file's at every read. Now the file is read again without ROUTER_DISCOVERY; one that is bad is logged and nothing changes. Directory.Move ends the open watch and opens one at the new address at once, asking for the whole list, and tries again by itself for 4 s, so that the module's back-off never stands between. Checked: TestSIGHUP ends with 'signal: hangup' without the change; the sidecars' logs show both moves and no failed watch.

--- a/cmd/kitewood/main.go
+++ b/cmd/kitewood/main.go
@@ -31,7 +31,7 @@
 		Commands: []*cli.Command{
 			{
 				Name:  "serve",
-				Usage: "run the sidecar that $ROUTER_CONFIG describes until SIGTERM",
+				Usage: "run the sidecar that $ROUTER_CONFIG describes until SIGTERM; at SIGHUP, read discovery from it again",
 				Flags: []cli.Flag{&cli.StringFlag{Name: "log-level", Value: "info", Usage: "debug, info, warn or error"}},
 				Action: func(ctx context.Context, c *cli.Command) error {
 					var level slog.Level
@@ -43,7 +43,8 @@
 						return err
 					}
 					log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
-					return program.Serve(ctx, config, log)
+					reload := func() (*program.Config, error) { return program.Reload(os.Getenv) }
+					return program.Serve(ctx, config, reload, log)
 				},
 			},
 			{
--- a/cmd/kitewood/main_test.go
+++ b/cmd/kitewood/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -42,8 +43,10 @@
 	process *exec.Cmd
 	came    chan string   // requests at the destination
 	hold    chan struct{} // lets go of what the path "hold" holds
-	watches chan string   // from where each watch asks
-	news    chan string   // lines for the watch
+	config  string        // the configuration file, and its text
+	text    string
+	watches chan string // from where each watch asks
+	news    chan string // lines for the watch
 	log     strings.Builder
 	ended   chan error
 }
@@ -52,38 +55,23 @@
 	p := &platform{t: t, came: make(chan string, 99), hold: make(chan struct{}), watches: make(chan string, 99),
 		news: make(chan string), ended: make(chan error, 1)}
 	destination := httptest.NewServer(http.HandlerFunc(p.destination))
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		p.watches <- r.FormValue("since")
-		for {
-			w.(http.Flusher).Flush()
-			select {
-			case line := <-p.news:
-				io.WriteString(w, line+"\n")
-			case <-time.After(time.Second):
-				io.WriteString(w, "\n")
-			case <-r.Context().Done():
-				return
-			}
-		}
-	}))
+	discovery := httptest.NewServer(http.HandlerFunc(p.watch))
 	ln, err := net.Listen("tcp", "127.0.0.1:0") // a free address
 	if err != nil {
 		t.Fatal(err)
 	}
 	p.address = ln.Addr().String()
 	ln.Close()
-	config := filepath.Join(t.TempDir(), "config.json")
-	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+	p.config = filepath.Join(t.TempDir(), "config.json")
+	p.text = fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1","limits":{"cores":1,"memory_mb":192,"sockets":1024},
 "known":{"index":1,"snapshot":true,"endpoints":[%s]},"settings":{"profiles":[
  {"name":"look","repeat":"safe","aimS":3,"giveUpS":3,"points":1},{"name":"pay","repeat":"unsafe","aimS":3,"giveUpS":3,"points":3}],
 "permissions":{"cancel":true,"retryAfter":true,"maxRetryAfterS":2,"connIdleS":30,"connectTimeoutS":0.25,"sendCap":4},
 "invariants":{"stopSendingWithinS":0.5,"askWithinS":0.5},"registryMode":"ask","zones":["a"],"shapes":["m"]}}`,
-		p.address, discovery.Listener.Addr(), entry(destination.Listener.Addr(), "Ready"))
-	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
+		p.address, discovery.Listener.Addr().String(), entry(destination.Listener.Addr(), "Ready"))
+	p.configure(p.text)
 	p.process = exec.Command(binary, "serve")
-	p.process.Env = append(os.Environ(), "ROUTER_CONFIG="+config)
+	p.process.Env = append(os.Environ(), "ROUTER_CONFIG="+p.config, "ROUTER_DISCOVERY="+discovery.Listener.Addr().String())
 	p.process.Stderr = &p.log
 	if err := p.process.Start(); err != nil {
 		t.Fatal(err)
@@ -108,6 +96,28 @@
 	return nil
 }
 
+func (p *platform) configure(text string) {
+	if err := os.WriteFile(p.config, []byte(text), 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// watch serves the watch of discovery.
+func (p *platform) watch(w http.ResponseWriter, r *http.Request) {
+	p.watches <- r.FormValue("since")
+	for {
+		w.(http.Flusher).Flush()
+		select {
+		case line := <-p.news:
+			io.WriteString(w, line+"\n")
+		case <-time.After(time.Second):
+			io.WriteString(w, "\n")
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
 func entry(at net.Addr, status string) string {
 	return fmt.Sprintf(`{"name":"s","address":%q,"zone":"a","type":"m","group":0,"status":%q,"weight":1,"since_ms":0}`, at, status)
 }
@@ -240,6 +250,46 @@
 	}
 }
 
+// At SIGHUP the file's discovery is watched in place of the old one, whatever the environment says, and its list is
+// asked for whole; a file that is no configuration changes nothing. Before, SIGHUP ended the process.
+func TestSIGHUP(t *testing.T) {
+	p := start(t)
+	<-p.watches
+	moved := make(chan string, 9)
+	next := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		moved <- r.FormValue("since")
+		p.watch(w, r)
+	}))
+	t.Cleanup(next.Close)
+	t.Cleanup(next.CloseClientConnections)
+	var conf map[string]any
+	if err := json.Unmarshal([]byte(p.text), &conf); err != nil {
+		t.Fatal(err)
+	}
+	conf["discovery"] = next.Listener.Addr().String()
+	text, _ := json.Marshal(conf)
+	for _, text := range []string{p.text[:99], string(text)} {
+		p.configure(text)
+		p.process.Process.Signal(syscall.SIGHUP)
+		time.Sleep(100 * time.Millisecond) // signals that wait are one
+		if status, body, _ := p.call("GET", "/look/echo", ""); status != 200 || body != "echo " {
+			t.Errorf("after SIGHUP: %d %q", status, body)
+		}
+	}
+	select {
+	case since := <-moved:
+		if since != "0" {
+			t.Errorf("the new discovery is asked from %s", since)
+		}
+	case err := <-p.ended:
+		t.Fatalf("SIGHUP ended the sidecar: %v", err)
+	}
+	p.process.Process.Signal(syscall.SIGTERM)
+	if err := <-p.ended; err != nil || !strings.Contains(p.log.String(), "not taken") {
+		t.Errorf("ended with %v: %s", err, p.log.String())
+	}
+}
+
 // After SIGTERM what is out and what still comes is answered, with word that the connection ends; then it exits.
 func TestSIGTERM(t *testing.T) {
 	p := start(t)
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -55,6 +55,17 @@
 	Shapes      []string
 }
 
+// Reload reads the configuration again. The file was replaced since the environment was set, so what it says of
+// discovery goes before ROUTER_DISCOVERY.
+func Reload(env func(string) string) (*Config, error) {
+	return Load(func(name string) string {
+		if name == "ROUTER_DISCOVERY" {
+			return ""
+		}
+		return env(name)
+	})
+}
+
 // Load reads the configuration that the environment names. What ROUTER_NAME, ROUTER_LISTEN and ROUTER_DISCOVERY say
 // goes before the file.
 func Load(env func(string) string) (*Config, error) {
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -19,13 +19,14 @@
 // stopMargin is how long after the longest deadline a stopping sidecar gives up on what is still owed.
 const stopMargin = 600 * time.Millisecond
 
-// Serve runs a sidecar until a signal stops it and nothing is owed to a client any more.
-func Serve(ctx context.Context, c *Config, log *slog.Logger) error {
+// Serve runs a sidecar until a signal stops it and nothing is owed to a client any more. At SIGHUP it calls reload and
+// moves to the discovery named there.
+func Serve(ctx context.Context, c *Config, reload func() (*Config, error), log *slog.Logger) error {
 	limit(c)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
 
 	clock := routing.NewClock()
@@ -40,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	directory := &transport.Directory{Address: c.Discovery, Loop: loop, Log: log, Context: ctx}
+	directory := transport.NewDirectory(ctx, c.Discovery, loop, log)
 	front := transport.NewFront(loop, c.Classes, budget, log)
 
 	ln, err := net.Listen("tcp", c.Listen)
@@ -53,10 +54,22 @@
 	go front.Serve(ln)
 	log.Info("serving", "name", c.Name, "listen", c.Listen, "tier", c.Module.Tier, "destinations", len(c.Known.Destinations))
 
-	select {
-	case <-ctx.Done():
-	case s := <-signals:
-		log.Info("stopping", "signal", s.String(), "owed", loop.Owed())
+	for stop := false; !stop; {
+		select {
+		case <-ctx.Done():
+			stop = true
+		case s := <-signals:
+			if stop = s != syscall.SIGHUP; stop {
+				log.Info("stopping", "signal", s.String(), "owed", loop.Owed())
+			} else if next, err := reload(); err != nil {
+				// A file that is half written or wrong must not take a sidecar down that serves.
+				log.Error("the configuration is not taken, the old one stays", "error", err)
+			} else {
+				log.Info("configuration read again: discovery is taken from it, all else at the next start",
+					"discovery", next.Discovery)
+				directory.Move(next.Discovery)
+			}
+		}
 	}
 	longest := 3 * time.Second
 	for _, class := range c.Classes {
--- a/internal/transport/directory.go
+++ b/internal/transport/directory.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
+	"sync"
 	"time"
 
 	"kitewood/balance"
@@ -17,48 +19,119 @@
 
 // Directory watches discovery. It implements routing.Directory.
 type Directory struct {
-	Address string
 	Loop    *routing.Loop
 	Log     *slog.Logger
 	Context context.Context // ends all watches
+
+	mu        sync.Mutex
+	address   string
+	moved     time.Time          // when the address was last replaced
+	following bool               // a watch is open or tried for
+	turn      context.CancelFunc // ends the watch that is open
+}
+
+// NewDirectory returns a Directory that watches discovery at an address.
+func NewDirectory(ctx context.Context, address string, loop *routing.Loop, log *slog.Logger) *Directory {
+	return &Directory{Context: ctx, address: address, Loop: loop, Log: log}
 }
 
 const (
-	beat    = 2 * time.Second // discovery sends an empty line this often while nothing changes
-	silence = 9 * beat / 4    // after this long without a line a watch is dead: two beats are missing
-	maxList = 4 << 20         // bytes of one pool config
+	beat    = 2 * time.Second         // discovery sends an empty line this often while nothing changes
+	silence = 9 * beat / 4            // after this long without a line a watch is dead: two beats are missing
+	opening = 3500 * time.Millisecond // a watch that has not begun by then will not: discovery gives a call 3 s
+	maxList = 4 << 20                 // bytes of one pool config
+
+	settling   = 4 * time.Second        // after a move the Directory itself tries again, for this long,
+	leastPause = 100 * time.Millisecond // with pauses from this
+	mostPause  = 800 * time.Millisecond // to this
 )
 
 var _ routing.Directory = (*Directory)(nil)
 
-// Follow opens a watch. It implements routing.Directory.
+// Follow opens a watch unless a move has opened one already. It implements routing.Directory.
 func (d *Directory) Follow(since int64) {
-	go func() {
-		err := d.watch(since)
-		if d.Context.Err() == nil {
-			d.Log.Warn("the watch of discovery has ended", "since", since, "error", err)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.following {
+		d.following = true
+		go d.follow(since)
+	}
+}
+
+// Move goes on with discovery at another address, at once: the old one may end its watches, or have ended them, and
+// what the new one tells counts as told soon, whether or not it was asked.
+func (d *Directory) Move(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if address == d.address {
+		return
+	}
+	d.address, d.moved = address, time.Now()
+	switch {
+	case d.turn != nil:
+		d.turn()
+	case !d.following: // the module waits to ask again; the new address knows nothing of why
+		d.following = true
+		go d.follow(0)
+	}
+}
+
+// follow runs watches until one ends that no move explains.
+func (d *Directory) follow(since int64) {
+	for pause := leastPause; ; {
+		d.mu.Lock()
+		ctx, cancel := context.WithCancel(d.Context)
+		d.turn = cancel
+		address, moved := d.address, d.moved
+		d.mu.Unlock()
+
+		err := d.watch(ctx, address, since)
+		settles := time.Since(moved) < settling
+		if ctx.Err() == nil {
+			d.Log.Warn("the watch of discovery has ended", "address", address, "since", since, "error", err)
+			if settles {
+				select {
+				case <-ctx.Done():
+				case <-time.After(pause/2 + rand.N(pause)): // spread: all sidecars may have been moved together
+				}
+				pause = min(2*pause, mostPause)
+			}
 		}
-		d.Loop.Lost()
-	}()
+		cancel()
+
+		d.mu.Lock()
+		again := d.Context.Err() == nil && (settles || d.address != address)
+		if d.address != address {
+			// Another discovery counts its versions for itself: its list is asked for whole.
+			since, pause = 0, leastPause
+		}
+		d.turn, d.following = nil, again
+		d.mu.Unlock()
+		if !again {
+			d.Loop.Lost()
+			return
+		}
+	}
 }
 
 // watch runs one watch to its end.
-func (d *Directory) watch(since int64) (err error) {
+func (d *Directory) watch(ctx context.Context, address string, since int64) (err error) {
 	defer func() {
 		if p := recover(); p != nil {
 			err = fmt.Errorf("panic: %v", p)
 		}
 	}()
-	dialer := net.Dialer{Timeout: silence, KeepAlive: -1}
-	conn, err := dialer.DialContext(d.Context, "tcp", d.Address)
+	until := time.Now().Add(opening)
+	dialer := net.Dialer{Deadline: until, KeepAlive: -1}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
-	defer context.AfterFunc(d.Context, func() { conn.Close() })()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	target := fmt.Sprintf("/registry/instances?follow=1&since=%d", since)
-	conn.SetDeadline(time.Now().Add(silence))
-	if _, err := conn.Write(protocol.GetText(d.Address, target)); err != nil {
+	conn.SetDeadline(until)
+	if _, err := conn.Write(protocol.GetText(address, target)); err != nil {
 		return err
 	}
 	lines := lineReader{take: d.line}
--- a/internal/transport/front_test.go
+++ b/internal/transport/front_test.go
@@ -55,7 +55,7 @@
 	}
 	t.Cleanup(func() { ln.Close() })
 	go f.Serve(ln)
-	return f, ln, func() { go loop.Run(ctx, destinations(clock), &Directory{Loop: loop, Log: quiet, Context: ctx}) }
+	return f, ln, func() { go loop.Run(ctx, destinations(clock), NewDirectory(ctx, "", loop, quiet)) }
 }
 
 func dial(t *testing.T, ln net.Listener) (net.Conn, *bufio.Reader) {
@@ -224,8 +224,8 @@
 	for _, answer := range []string{"HTTP/1.1 503 U\r\nContent-Length: 0\r\n\r\n", "",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n{x}\n\r\n"} {
 		at := server(t, func(conn net.Conn) { head(conn); io.WriteString(conn, answer); conn.Close() })
-		d := &Directory{Address: at, Log: quiet, Context: context.Background()}
-		if err := d.watch(7); err == nil {
+		d := NewDirectory(context.Background(), at, nil, quiet)
+		if err := d.watch(d.Context, at, 7); err == nil {
 			t.Errorf("%q ended without an error", answer)
 		}
 	}
