Bound slow and silent clients, keep open ids apart, end spoilt answers at once

At fault: frontConn.serve (no limit without a first byte, 10 s after it), Front.closeIdle (oldest first, so that a crowd pushed out clients that come back), Loop.Submit (no look at ids), link.took (an answer that came before its request was served), Machine.frame (interim answers without a bound). Now: 2.5 s for a request or its first byte, 3 s idle; silent connections make room first, then slow ones, after a look at the socket; an open id is told 409, and one whose client has left is free once its attempt is over; what came while a connection was closed to make room is not taken; spoilt answers end at once or 0.75 s after their first byte; a connection rests 5 ms before it is used again, so that what comes behind an answer shows. Ruled out: taking spoilt answers as no sign of health at all. The new tests fail without the change.

--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -16,6 +16,9 @@
 	MaxHead = 16 << 10 // start line and header fields
 	MaxBody = 64 << 10
 	maxLine = 256 // the line of a chunk's size, or of a trailer
+
+	maxInterim = 8         // interim answers before one that counts
+	answers    = "HTTP/1." // what every answer begins with
 )
 
 // Error is a message that breaks the protocol, with the status that its sender is told.
@@ -53,6 +56,8 @@
 	buf  []byte // the head or line that is not yet whole
 	msg  *Message
 	left int // bytes of the body or chunk to come
+
+	interim int // interim answers since the last message
 }
 
 // step is what a Machine waits for.
@@ -102,7 +107,7 @@
 
 func (m *Machine) finish() *Message {
 	msg := m.msg
-	m.step, m.msg, m.left = inHead, nil, 0
+	m.step, m.msg, m.left, m.interim = inHead, nil, 0, 0
 	return msg
 }
 
@@ -174,6 +179,10 @@
 	old := len(m.buf)
 	room := min(len(p), MaxHead+4-old)
 	m.buf = append(m.buf, p[:room]...)
+	// Noise is known by its first bytes: it may hold no empty line, and who waits for one waits until the time is up.
+	if n := min(len(m.buf), len(answers)); m.Answers && string(m.buf[:n]) != answers[:n] {
+		return room, false, bad(400, "not an answer")
+	}
 	look := max(0, old-3)
 	at := bytes.Index(m.buf[look:], []byte("\r\n\r\n"))
 	if at < 0 {
@@ -275,6 +284,9 @@
 	} else if !isToken(first) || second == "" || !printable(second) {
 		return nil, bad(400, "malformed request line")
 	}
+	if !answer && bytes.ContainsFunc(head, func(c rune) bool { return c < ' ' && c != '\t' && c != '\r' && c != '\n' || c == 0x7f }) {
+		return nil, bad(400, "malformed head: a control character")
+	}
 	switch version {
 	case "HTTP/1.1":
 		msg.Close = hasToken(header["Connection"], "close")
@@ -294,7 +306,10 @@
 	lengths, codings := msg.Header["Content-Length"], msg.Header["Transfer-Encoding"]
 	if m.Answers {
 		switch code := msg.Status(); {
-		case code < 200: // an interim answer: the final one follows
+		case code < 200: // an interim answer: the final one follows, but not for ever, and nobody asked for an upgrade
+			if m.interim++; m.interim > maxInterim || code == 101 {
+				return false, bad(400, "interim answers without an end")
+			}
 			m.step, m.msg = inHead, nil
 			return false, nil
 		case code == 204 || code == 304:
@@ -354,7 +369,7 @@
 
 func printable(s string) bool {
 	for _, c := range []byte(s) {
-		if c <= ' ' || c == 0x7f {
+		if c <= ' ' || c >= 0x7f {
 			return false
 		}
 	}
--- a/internal/protocol/operation.go
+++ b/internal/protocol/operation.go
@@ -29,6 +29,7 @@
 // Operation is what a client's request says of itself.
 type Operation struct {
 	Class    int
+	ID       string
 	TimeLeft time.Duration
 	Hint     float64 // seconds of a core, 0 for none
 	Repeat   bool
@@ -63,7 +64,10 @@
 		return op, bad(405, "this class wants %s", classes[op.Class].Method)
 	case len(m.Header[headerID]) != 1 || m.Header[headerID][0] == "":
 		return op, bad(400, "a request names one %s", headerID)
+	case m.Start[0] == "GET" && len(m.Body) > 0: // a destination may take it for a further request
+		return op, bad(400, "a GET has no body")
 	}
+	op.ID = m.Header[headerID][0]
 	op.TimeLeft = classes[op.Class].Deadline
 	if v, given := m.Header[headerTimeLeft]; given {
 		ms, err := strconv.ParseUint(v[0], 10, 53)
@@ -125,10 +129,13 @@
 	return word
 }
 
-// Load reads the load report of an answer in the order of the settings' fields; nil if it has none that is whole.
+// Load reads the load report of an answer in the order of the settings' fields; nil if it has none that is whole. One
+// that cannot be read is passed over.
 func (m *Message) Load(fields []string) []float32 {
-	if v := m.Header[headerLoad]; len(v) > 0 {
-		return LoadReport(v[0], fields)
+	for _, v := range m.Header[headerLoad] {
+		if load := LoadReport(v, fields); load != nil {
+			return load
+		}
 	}
 	return nil
 }
--- a/internal/protocol/write.go
+++ b/internal/protocol/write.go
@@ -93,6 +93,8 @@
 		return "Not Found"
 	case 405:
 		return "Method Not Allowed"
+	case 409:
+		return "Conflict"
 	case 408:
 		return "Request Timeout"
 	case 413:
--- a/internal/routing/interfaces.go
+++ b/internal/routing/interfaces.go
@@ -19,7 +19,10 @@
 	Repeat   bool          // the client has tried before
 	Payload  any           // the request itself, for the Carrier alone
 	Done     func(Answer)  // takes the one final answer; it must not block
+	Key      string        // no two that are open share one; "" for none
+	Left     func() bool   // looks whether the client has left; nil if that cannot be told
 
+	next     []*Operation // wait for the attempts of this one, which has ended and has their key
 	id       balance.RequestID
 	ended    bool // the final answer was given, or nobody waits for it
 	attempts []*Attempt
@@ -31,9 +34,10 @@
 
 // The verdicts.
 const (
-	Served Verdict = iota // Payload is a destination's answer
-	Busy                  // refused: trying again is harmless
-	Failed                // it may have run
+	Served  Verdict = iota // Payload is a destination's answer
+	Busy                   // refused: trying again is harmless
+	Failed                 // it may have run
+	Doubled                // another open operation has its key: it reached no destination
 )
 
 // Answer is the final answer to an operation.
--- a/internal/routing/loop.go
+++ b/internal/routing/loop.go
@@ -30,6 +30,7 @@
 
 	lastID balance.RequestID
 	ops    map[balance.RequestID]*Operation
+	keys   map[string]*Operation // those of ops that have a key
 	pool   pool
 	timers timers
 	asked  uint64 // timers asked for so far
@@ -41,7 +42,7 @@
 // New returns a Loop that does not run yet, or an error if the module does not take its settings.
 func New(set balance.Settings, names Names, clock Clock, log *slog.Logger) (*Loop, error) {
 	l := &Loop{Clock: clock, set: set, names: names, log: log, events: make(chan func(), 256),
-		done: make(chan struct{}), ops: map[balance.RequestID]*Operation{}, pool: newPool()}
+		done: make(chan struct{}), ops: map[balance.RequestID]*Operation{}, keys: map[string]*Operation{}, pool: newPool()}
 	var err error
 	l.balancer, err = balance.New(set, host{l}, l.Now())
 	return l, err
--- a/internal/routing/operation.go
+++ b/internal/routing/operation.go
@@ -11,25 +11,51 @@
 // Submit takes an operation, from any goroutine. Its Done gets one answer, unless Abandon comes first.
 func (l *Loop) Submit(op *Operation) {
 	l.owed.Add(1)
-	l.post(func() {
-		l.lastID++
-		op.id = l.lastID
-		l.ops[op.id] = op
-		defer l.answerOnPanic(op)
-		l.balancer.Request(l.Now(), balance.Request{ID: op.id, Class: op.Class, Deadline: op.Deadline, Hint: op.Hint,
-			Repeat: op.Repeat})
-	})
+	l.post(func() { l.admit(op) })
+}
+
+// admit hands an operation to the module unless its key is in use: a destination knows requests by it, and two of them
+// would be taken for copies of one.
+func (l *Loop) admit(op *Operation) {
+	if op.ended { // its client left while it waited
+		return
+	}
+	if old := l.keys[op.Key]; old != nil && op.Key != "" {
+		// A client sends a request again when its connection is closed under it, and that may be known here only now.
+		if !old.ended && old.Left != nil && old.Left() {
+			l.abandon(old)
+		}
+		if !old.ended {
+			l.answer(op, Answer{Verdict: Doubled})
+			return
+		}
+		if old.out > 0 {
+			old.next = append(old.next, op)
+			return
+		}
+	}
+	l.lastID++
+	op.id = l.lastID
+	l.ops[op.id] = op
+	if op.Key != "" {
+		l.keys[op.Key] = op
+	}
+	defer l.answerOnPanic(op)
+	l.balancer.Request(l.Now(), balance.Request{ID: op.id, Class: op.Class, Deadline: op.Deadline, Hint: op.Hint,
+		Repeat: op.Repeat})
 }
 
 // Abandon says that the client of an operation has left, from any goroutine. Its Done may still be called.
 func (l *Loop) Abandon(op *Operation) {
-	l.post(func() {
-		if !op.ended {
-			l.end(op)
-			l.balancer.GoneClient(l.Now(), op.id)
-			l.forget(op)
-		}
-	})
+	l.post(func() { l.abandon(op) })
+}
+
+func (l *Loop) abandon(op *Operation) {
+	if !op.ended {
+		l.end(op)
+		l.balancer.GoneClient(l.Now(), op.id)
+		l.forget(op)
+	}
 }
 
 // answer gives an operation its one final answer.
@@ -56,9 +82,17 @@
 
 // forget drops an operation when nothing more can come for it.
 func (l *Loop) forget(op *Operation) {
-	if op.ended && op.out == 0 {
-		delete(l.ops, op.id)
+	if !op.ended || op.out > 0 {
+		return
+	}
+	delete(l.ops, op.id)
+	if l.keys[op.Key] == op {
+		delete(l.keys, op.Key)
+	}
+	for _, next := range op.next {
+		l.pending = append(l.pending, func() { l.admit(next) })
 	}
+	op.next = nil
 }
 
 // send starts an attempt. Each has exactly one outcome, also those that never reach the carrier.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -140,6 +140,43 @@
 	}
 }
 
+// Two open operations with one key would be copies at a destination: the second reaches none. When the first's client
+// has left, the second goes out as soon as the first's attempt is over, and nothing of either is kept.
+func TestKeys(t *testing.T) {
+	l, f := start(t, limits)
+	left := false
+	take := func() (*Operation, chan Answer) {
+		answers := make(chan Answer, 9)
+		op := &Operation{Deadline: l.Now() + time.Minute, Key: "k", Left: func() bool { return left },
+			Done: func(a Answer) { answers <- a }}
+		l.Submit(op)
+		return op, answers
+	}
+	_, answers := take()
+	a := <-f.carried
+	_, doubled := take()
+	if a := <-doubled; a.Verdict != Doubled || len(answers) > 0 {
+		t.Errorf("the second was answered %+v", a)
+	}
+	l.post(func() { left = true })
+	again, answers := take()
+	<-a.Context.Done()
+	if sync(l); len(f.carried) > 0 {
+		t.Fatal("two attempts are out")
+	}
+	(<-f.done)(Result{Err: &AttemptError{WhollyWritten, context.Canceled}})
+	if a := <-f.carried; a.Op != again {
+		t.Error("another operation went out")
+	}
+	(<-f.done)(Result{Status: balance.OK})
+	if a := <-answers; a.Verdict != Served {
+		t.Errorf("answered %+v", a)
+	}
+	if sync(l); len(l.keys) != 0 || len(l.ops) != 0 || l.Owed() != 0 {
+		t.Errorf("kept: %d keys, %d operations, %d owed", len(l.keys), len(l.ops), l.Owed())
+	}
+}
+
 // A panic in an event is the end of that event alone, and the operation that it met has its answer.
 func TestPanic(t *testing.T) {
 	l, f := start(t, limits)
--- a/internal/transport/destinations.go
+++ b/internal/transport/destinations.go
@@ -79,6 +79,7 @@
 var (
 	errPanic  = errors.New("panic")
 	errStale  = errors.New("it may no longer be sent")
+	errSpoilt = errors.New("spoilt answer") // it cannot be read, or is not this request's; that may have run
 	errNoRoom = errors.New("the budget of descriptors is spent")
 )
 
@@ -137,14 +138,21 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	list := u.idle[d]
-	if len(list) == 0 {
-		return nil
+	// What comes behind an answer, a second copy of it say, is seen while the connection rests; one that works again at
+	// once would take it for its next answer.
+	rested := time.Now().Add(-leastRest)
+	for i := len(list) - 1; i >= 0; i-- {
+		if k := list[i]; k.since.Before(rested) {
+			u.keep(d, slices.Delete(list, i, i+1))
+			return k
+		}
 	}
-	k := list[len(list)-1]
-	u.keep(d, list[:len(list)-1])
-	return k
+	return nil
 }
 
+// leastRest is how long a connection is idle at the least.
+const leastRest = 5 * time.Millisecond
+
 func (u *Destinations) keep(d *routing.Destination, list []*link) {
 	if len(list) == 0 {
 		delete(u.idle, d)
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -24,6 +24,7 @@
 	draining atomic.Bool
 	mu       sync.Mutex
 	conns    map[*frontConn]struct{}
+	live     int        // of conns, those that are not being closed to make room
 	changed  *sync.Cond // a connection has ended or become idle
 }
 
@@ -50,10 +51,11 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		c := &frontConn{front: f, conn: conn, since: time.Now()}
+		c := &frontConn{front: f, conn: conn, stage: silent, since: time.Now()}
 		f.mu.Lock()
+		c.beyond = f.live >= f.budget.Front && !f.closeOne()
 		f.conns[c] = struct{}{}
-		c.beyond = len(f.conns) > f.budget.Front && !f.closeIdle()
+		f.live++
 		f.mu.Unlock()
 		go c.serve()
 	}
@@ -64,25 +66,41 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for len(f.conns) >= f.budget.Front+f.budget.Overflow {
-		f.closeIdle()
+		// One at a time, or those that have just been closed would cost others their connection.
+		if f.live == len(f.conns) && !f.closeOne() { // a request that is coming now may be late in a moment
+			time.AfterFunc(tooSlow, f.changed.Broadcast)
+		}
 		f.changed.Wait()
 	}
 }
 
-// closeIdle closes the connection that has been idle longest. f.mu is held.
-func (f *Front) closeIdle() bool {
-	var oldest *frontConn
-	for c := range f.conns {
-		if c.idle && (oldest == nil || c.since.Before(oldest.since)) {
-			oldest = c
+// tooSlow is how long a request may be coming before its connection may be closed to make room.
+const tooSlow = 100 * time.Millisecond
+
+// closeOne closes a connection that has no request out. Those that have never sent one go first, then those that are
+// slow to: crowds of them must not crowd out clients that ask again on the connection they have. f.mu is held.
+func (f *Front) closeOne() bool {
+	for {
+		var next *frontConn
+		for c := range f.conns {
+			switch {
+			case c.gone || c.stage == working || c.stage == coming && time.Since(c.since) < tooSlow:
+			case next == nil || c.stage < next.stage || c.stage == next.stage && c.since.Before(next.since):
+				next = c
+			}
 		}
+		if next == nil {
+			return false
+		}
+		if next.stage != coming && peek(next.conn) == waits {
+			next.stage = working // a request has come, and its goroutine has not run yet
+			continue
+		}
+		next.gone = true
+		f.live--
+		next.conn.Close()
+		return true
 	}
-	if oldest == nil {
-		return false
-	}
-	oldest.idle = false
-	oldest.conn.Close()
-	return true
 }
 
 // Stop serves on for a while, as clients learn late that the sidecar is to stop, then closes what is idle and waits
@@ -97,11 +115,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	defer context.AfterFunc(ctx, f.changed.Broadcast)()
-	for f.closeIdle() {
+	for f.closeOne() {
 	}
 	for len(f.conns) > 0 && ctx.Err() == nil {
 		f.changed.Wait()
-		for f.closeIdle() {
+		for f.closeOne() {
 		}
 	}
 }
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -15,11 +15,12 @@
 )
 
 const (
-	slowRequest = 10 * time.Second       // a request that takes longer to come is given up
-	slowAnswer  = 5 * time.Second        // an answer that the client does not take
-	answerGrace = 25 * time.Millisecond  // after the deadline the connection answers by itself
-	maxAhead    = 16 << 10               // bytes kept of what a client sends before it has its answer
-	goodbye     = 500 * time.Millisecond // how long the client may take to close its side
+	slowRequest = 2500 * time.Millisecond // a request that takes longer to come is given up, as is a connection without one
+	idleFor     = 3 * time.Second         // between two requests; clients ask once and keep their connections for good
+	slowAnswer  = 5 * time.Second         // an answer that the client does not take
+	answerGrace = 25 * time.Millisecond   // after the deadline the connection answers by itself
+	maxAhead    = 16 << 10                // bytes kept of what a client sends before it has its answer
+	goodbye     = 500 * time.Millisecond  // how long the client may take to close its side
 )
 
 // frontConn is one connection of a client. One goroutine serves it; while an operation is out that goroutine goes on
@@ -31,19 +32,32 @@
 	machine protocol.Machine
 	ahead   []byte // read, and not yet fed
 
-	idle  bool      // between two requests; under front.mu, as since
-	since time.Time // idle since then
+	stage stage     // under front.mu, as are since and gone
+	since time.Time // the stage, or the request that is coming, began then
+	gone  bool      // closed to make room, or because the sidecar stops
 
 	op     *routing.Operation // out, nil for none
 	answer chan routing.Answer
 }
 
+// stage is what a connection is at.
+type stage uint8
+
+const (
+	working stage = iota // its request is out or being answered
+	silent               // nothing has ever come
+	coming               // a part of a request has come
+	resting              // between two requests
+)
+
 // serve runs the connection to its end.
 func (c *frontConn) serve() {
 	defer c.leave()
 	buf := make([]byte, 4<<10)
-	var until time.Time // when a request that has begun must have come whole
-	promised := false   // a client that waits for it has been told to go on
+	// A connection without a request has as long as a slow one: crowds that say nothing must not stay.
+	at, since := silent, c.since
+	until := since.Add(slowRequest)
+	promised := false // a client that waits for it has been told to go on
 	for {
 		msg, err := c.next()
 		if err != nil {
@@ -51,36 +65,47 @@
 			return
 		}
 		if msg != nil {
-			until, promised = time.Time{}, false
+			promised = false
 			if !c.handle(msg, buf) {
 				return
 			}
+			at, since = resting, time.Now()
+			until = since.Add(idleFor)
 			continue
 		}
-		idle := c.machine.Idle()
-		if !idle && until.IsZero() {
-			until = time.Now().Add(slowRequest)
+		if !c.machine.Idle() && at != coming {
+			if at == resting {
+				since = time.Now()
+				until = since.Add(slowRequest)
+			}
+			at = coming
 		}
 		if head := c.machine.Head(); head != nil && !promised && head.Header.Get("Expect") != "" {
 			promised = true
 			c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 		}
-		c.mark(idle)
+		c.mark(at, since)
 		// The time is set anew before each read: the wake-up of an answer may come after the answer itself was
 		// seen, and must not end a later read.
 		c.conn.SetReadDeadline(until)
 		n, err := c.conn.Read(buf)
-		c.mark(false)
+		if c.mark(working, since) {
+			// What came as it was closed is not taken: its client sends it again elsewhere, and it must not run twice.
+			return
+		}
 		c.ahead = append(c.ahead, buf[:n]...)
 		switch {
 		case n > 0 || err == nil:
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			if !until.IsZero() && !time.Now().Before(until) {
+			if !time.Now().Before(until) {
+				if at != coming && peek(c.conn) != waits {
+					return
+				}
 				c.refuse(&protocol.Error{Status: 408, Why: "the request took too long to come"})
 				return
 			}
 		default:
-			if !idle && errors.Is(err, io.EOF) {
+			if at == coming && errors.Is(err, io.EOF) {
 				_, cut := c.machine.End()
 				c.refuse(cut)
 			}
@@ -89,15 +114,15 @@
 	}
 }
 
-// mark notes whether the connection is idle: then it may be closed to make room, or because the sidecar stops.
-func (c *frontConn) mark(idle bool) {
+// mark notes what the connection is at: where it is not working it may be closed to make room, or because the sidecar
+// stops. It tells whether that has happened.
+func (c *frontConn) mark(at stage, since time.Time) bool {
 	c.front.mu.Lock()
 	defer c.front.mu.Unlock()
-	if c.idle = idle; idle {
+	if c.stage, c.since = at, since; at != working {
 		c.front.changed.Broadcast()
-	} else {
-		c.since = time.Now()
 	}
+	return c.gone
 }
 
 // next takes a request from what has come, nil while it is not whole.
@@ -146,7 +171,7 @@
 	answer := make(chan routing.Answer, 1)
 	c.answer = answer
 	op := &routing.Operation{Class: figures.Class, Deadline: loop.Now() + figures.TimeLeft, Hint: figures.Hint,
-		Repeat: figures.Repeat, Payload: m}
+		Repeat: figures.Repeat, Payload: m, Key: figures.ID, Left: func() bool { return peek(c.conn) == broken }}
 	op.Done = func(a routing.Answer) {
 		answer <- a                             // not c.answer: a late answer must not reach the next operation
 		c.conn.SetReadDeadline(time.Unix(1, 0)) // wakes the read in wait
@@ -167,6 +192,9 @@
 	case routing.Busy:
 		return c.reply(protocol.Reply{Status: 503, RetryAfter: a.RetryAfter, Why: "busy"}, close)
 	}
+	if a.Verdict == routing.Doubled {
+		return c.reply(protocol.Reply{Status: 409, Why: "a request with this id is open"}, close)
+	}
 	return c.reply(protocol.Reply{Status: 502, Why: "failed"}, close)
 }
 
@@ -260,6 +288,9 @@
 	c.conn.Close()
 	c.front.mu.Lock()
 	delete(c.front.conns, c)
+	if !c.gone {
+		c.front.live--
+	}
 	c.front.changed.Broadcast()
 	c.front.mu.Unlock()
 }
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -8,7 +8,6 @@
 	"os"
 	"runtime/debug"
 	"sync"
-	"syscall"
 	"time"
 
 	"kitewood/internal/protocol"
@@ -19,6 +18,7 @@
 type task struct {
 	done     func(routing.Result)
 	deadline time.Time
+	hurried  bool // the deadline is that of an answer which has begun
 	probe    bool
 
 	mu       sync.Mutex
@@ -99,15 +99,27 @@
 // writeGrace is how long an answer waits for the end of its request's write before it counts as early.
 const writeGrace = time.Second / 4
 
-// answered notes that part of an answer has come and tells whether the request was out before.
-func (t *task) answered() bool {
+// answered notes that part of an answer has come. It tells whether that was before the request was out, and whether it
+// is the first part.
+func (t *task) answered() (early, first bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.progress >= routing.WhollyWritten {
-		t.progress = routing.Answering
-		return true
+	if t.progress < routing.WhollyWritten {
+		return true, false
+	}
+	first = t.progress < routing.Answering
+	t.progress = routing.Answering
+	return false, first
+}
+
+// wholeWithin is how long an answer may take from its first byte to its last.
+const wholeWithin = 3 * time.Second / 4
+
+// hurry brings the task's deadline forward.
+func (t *task) hurry(until time.Time) {
+	if until.Before(t.deadline) {
+		t.deadline, t.hurried = until, true
 	}
-	return false
 }
 
 // onEnd has f run when the task ends, or now if it has.
@@ -132,15 +144,18 @@
 	mu      sync.Mutex
 	machine protocol.Machine
 	task    *task     // on its way, nil while idle
+	used    bool      // it has brought an answer
 	since   time.Time // idle since then
 	dead    bool
 }
 
-// begin gives an idle connection a task, if it still stands.
+// begin gives an idle connection a task, if it still stands. The look guards against one that its peer has closed, or
+// sent something over, while the reader has not run yet: a request written to it would count as one that may have run,
+// and what came would pass for its answer.
 func (k *link) begin(t *task) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.dead || k.task != nil || k.broken() {
+	if k.dead || k.task != nil || peek(k.conn) != still {
 		k.close()
 		return false
 	}
@@ -149,22 +164,6 @@
 	return true
 }
 
-// broken guards against an idle connection that its peer has closed while the reader has not run yet: a request
-// written to it would count as one that may have run.
-func (k *link) broken() bool {
-	raw, err := k.conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return true
-	}
-	quiet := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = e == syscall.EAGAIN || e == syscall.EINTR
-	})
-	return err != nil || !quiet
-}
-
 // write sends a task's request.
 func (k *link) write(t *task, text net.Buffers) {
 	k.conn.SetWriteDeadline(t.deadline)
@@ -274,14 +273,27 @@
 	}
 	used, early := 0, false
 	if len(p) > 0 {
-		early = !t.answered()
-		used, msg, broke = k.machine.Feed(p)
+		var first bool
+		early, first = t.answered()
+		if used, msg, broke = k.machine.Feed(p); broke != nil {
+			broke = fmt.Errorf("%w: %w", errSpoilt, broke)
+		} else if early && (k.used || msg != nil && msg.Status() == 200) {
+			// It came before the request was out: what is left of an earlier answer, or nobody's.
+			msg, broke = nil, fmt.Errorf("%w: it came before its request", errSpoilt)
+		} else if first && msg == nil {
+			// A spoilt answer can stop short of its length and its connection stay open: the time is not waited out.
+			t.hurry(time.Now().Add(wholeWithin))
+			k.conn.SetReadDeadline(t.deadline)
+		}
 	}
 	if msg == nil && broke == nil && err != nil {
 		if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(t.deadline) {
 			return t, nil, nil, true // the time of the rest before: the task has set its own
 		}
 		broke = err
+		if t.hurried && errors.Is(err, os.ErrDeadlineExceeded) {
+			broke = fmt.Errorf("%w: it stops short", errSpoilt)
+		}
 		if errors.Is(err, io.EOF) {
 			if m, e := k.machine.End(); e == nil {
 				msg, broke = m, nil
@@ -291,7 +303,7 @@
 	if msg == nil {
 		return t, nil, broke, broke == nil
 	}
-	k.task = nil
+	k.task, k.used = nil, true
 	if early || err != nil || used < len(p) || msg.Close {
 		// An answer before the request's end, bytes after the answer: the two sides may no longer agree on where
 		// a message ends.
