Read load reports by the words of the settings, in which they come

Seen: a trace of the sockets shows 'X-Backend-Load: q=0,rif=6.579,rate=7.533,busy=0.800', the words of the settings; LoadReport looked for the protocol page's words alone (queue, inflight, qps, util) and found no report in any answer. So the module's only readings were failures: it believed nothing of load, and taking spoilt answers as no reading left it with none. At fault: LoadReport, socketName in internal/protocol/operation.go, and a test that knew the page's words only. Now a value is looked for by the settings' word first, then by the page's.

--- a/internal/protocol/operation.go
+++ b/internal/protocol/operation.go
@@ -140,7 +140,8 @@
 	return nil
 }
 
-// LoadReport reads a load report's text.
+// LoadReport reads a load report's text. Its values go by the words of the settings, or by those that the protocol shows:
+// read by the latter alone, reports in the former were no reports, and the module steered by failures only.
 func LoadReport(text string, fields []string) []float32 {
 	values, ok := pairs(strings.TrimSpace(text))
 	if !ok || len(fields) == 0 {
@@ -148,7 +149,11 @@
 	}
 	load := make([]float32, len(fields))
 	for i, word := range fields {
-		v, err := strconv.ParseFloat(values[socketName(word)], 32)
+		text, given := values[word]
+		if !given {
+			text = values[socketName(word)]
+		}
+		v, err := strconv.ParseFloat(text, 32)
 		if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
 			return nil
 		}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -205,11 +205,13 @@
 	}
 }
 
-// Sockets have other names for the values of a report than the settings.
+// Reports come in the protocol's words and in those of the settings.
 func TestLoadReport(t *testing.T) {
-	load := LoadReport("inflight=7,queue=2,util=0.5,qps=9", []string{"q", "rif", "rate", "busy"})
-	if !slices.Equal(load, []float32{2, 7, 9, 0.5}) {
-		t.Errorf("read as %v", load)
+	for _, text := range []string{"inflight=7,queue=2,util=0.5,qps=9", "q=2,rif=7,rate=9,busy=0.5"} {
+		load := LoadReport(text, []string{"q", "rif", "rate", "busy"})
+		if !slices.Equal(load, []float32{2, 7, 9, 0.5}) {
+			t.Errorf("%s read as %v", text, load)
+		}
 	}
 	for _, bad := range []string{"", "queue=2", "queue=x,util=1", "queue=NaN,util=1", "queue"} {
 		if load := LoadReport(bad, []string{"q", "busy"}); load != nil {
