Keep the last servers of a release from being buried, and serve longer after SIGTERM

At fault: pick's last resort, any server that is not cold, without a bound; patience, six mean latencies, which at 0.4 s comes when the wanted time is over, so a server that hangs was never seen to; Front.Stop, which served on for 1 s and waited for up to the longest deadline, where the process may be killed at 3.7 s. Now: a server with more own attempts out than are done in one aim is no choice (Balancer.full); an attempt is overdue after four mean latencies; a stopping sidecar serves for two thirds of 3.5 s on connections that stay, and what comes then has no more time than is left.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -245,10 +245,8 @@
 	c := &b.set.Classes[r.Class]
 	r.attempts[n].judged = true
 	b.judge(r.attempts[n].server, 1, now)
-	if !r.late {
-		b.leave(r)
-		r.late = true
-	}
+	b.leave(r)
+	r.late = true
 	if c.Effect != Safe || b.left(r, now) < b.classes[r.Class].mean(c) {
 		return
 	}
--- a/balance/guard.go
+++ b/balance/guard.go
@@ -10,8 +10,9 @@
 
 // Where the mechanism alone breaks, the exceptions below act. docs/design.md lists their conditions.
 const (
-	patience     = 6       // an attempt is overdue after this many times the mean latency of its class
+	patience     = 4       // an attempt is overdue after this many times the mean latency of its class
 	crowd        = 1.0     // own attempts out at a server, over its weight's share, that pass it over
+	fullAims     = 1.0     // a server with more own attempts out than are done in this many aims is no choice
 	unfit        = 0.5     // a server whose share of failures exceeds that of all by this is ejected
 	failWeight   = 0.3     // of one outcome in a server's share of failures: two in a row eject, one does not
 	ejectShare   = 3       // at most one in this many tracked servers is ejected
@@ -173,7 +174,7 @@
 	}
 	skipped := 0
 	return b.spin(now, func(s *server) bool {
-		if now < s.coldNext || r.tried(s) && len(b.rotation) > len(r.attempts) {
+		if now < s.coldNext || r.tried(s) && len(b.rotation) > len(r.attempts) || b.full(s) {
 			return false
 		}
 		skipped++
--- a/balance/state.go
+++ b/balance/state.go
@@ -217,6 +217,12 @@
 	}
 }
 
+// full tells whether a server holds so many own attempts that one more would be answered too late, and make all the
+// others later still: with few servers left the last one is not to be buried.
+func (b *Balancer) full(s *server) bool {
+	return b.doneAll >= matureCount && float64(len(s.out)) >= max(fullAims*b.meanAim.Seconds()/max(b.meanLat, 1e-3), 4)
+}
+
 // utilReported tells whether reports hold utilisation.
 func (b *Balancer) utilReported() bool {
 	return b.set.Report.Via != NoReports && slices.Contains(b.set.Report.Fields, Util)
--- a/balance/trend_test.go
+++ b/balance/trend_test.go
@@ -364,6 +364,27 @@
 
 // Clients retry what is refused. Were their repeats counted, shedding would put every tenant over its share, and the
 // order in which tenants are shed would be lost.
+// With one server left of many, all that comes must not be queued there: it is answered by what it can do in time, and
+// the rest is held for a moment, then refused.
+func TestLastServerIsNotBuried(t *testing.T) {
+	set := settings()
+	set.Tier = 1 // below the clients' tier nothing is shed
+	b, h := start(t, set, fleet(1))
+	now := time.Duration(0)
+	for id := range RequestID(2 * matureCount) {
+		b.Request(now, Request{ID: id, Class: 1, Deadline: now + 2*time.Second})
+		now += 100 * ms
+		h.outcome(b, now, id, OK)
+	}
+	done := len(h.sends)
+	for id := range RequestID(200) {
+		b.Request(now, Request{ID: 1000 + id, Class: 1, Deadline: now + 2*time.Second})
+	}
+	if out, most := len(h.sends)-done, int(b.meanAim/(100*ms)); out < 4 || out > most+1 {
+		t.Errorf("%d attempts are out at the last server, want up to %d", out, most)
+	}
+}
+
 func TestRepeatsDoNotCountTowardsATenantsShare(t *testing.T) {
 	set := settings()
 	set.Tenants = []Tenant{{Share: 1, Quota: 100}}
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -16,8 +16,11 @@
 	"kitewood/internal/transport"
 )
 
-// stopMargin is how long after the longest deadline a stopping sidecar gives up on what is still owed.
-const stopMargin = 600 * time.Millisecond
+// A stopping sidecar is killed no sooner than the longest deadline, or 3 s where that is longer, and 0.7 s after the word.
+const (
+	stopLongest = 3 * time.Second
+	stopMargin  = 500 * time.Millisecond
+)
 
 // Serve runs a sidecar until a signal stops it and nothing is owed to a client any more. At SIGHUP it calls reload and
 // moves to the discovery named there.
@@ -71,13 +74,11 @@
 			}
 		}
 	}
-	longest := 3 * time.Second
+	longest := time.Duration(0)
 	for _, class := range c.Classes {
 		longest = max(longest, class.Deadline)
 	}
-	last, done := context.WithTimeout(ctx, longest+stopMargin)
-	defer done()
-	front.Stop(last, ln)
+	front.Stop(ctx, ln, min(longest, stopLongest)+stopMargin)
 	log.Info("stopped", "owed", loop.Owed())
 	return nil
 }
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -21,7 +21,9 @@
 	log     *slog.Logger
 	budget  Budget
 
-	draining atomic.Bool
+	draining atomic.Bool  // no longer ready
+	closing  atomic.Bool  // connections end with their next answer
+	until    atomic.Int64 // where draining: when all must be answered, on the loop's clock
 	mu       sync.Mutex
 	conns    map[*frontConn]struct{}
 	live     int        // of conns, those that are not being closed to make room
@@ -35,9 +37,6 @@
 	return f
 }
 
-// lingering is how long new requests are served after the word to stop: clients learn of it late.
-const lingering = time.Second
-
 // Serve accepts connections until the listener closes.
 func (f *Front) Serve(ln net.Listener) {
 	for {
@@ -103,14 +102,19 @@
 	}
 }
 
-// Stop serves on for a while, as clients learn late that the sidecar is to stop, then closes what is idle and waits
-// until nothing is owed, or the context ends.
-func (f *Front) Stop(ctx context.Context, ln net.Listener) {
+// Stop serves on for two thirds of its time: clients keep the connections that they have, there may be no other sidecar
+// for them, and the next one starts no sooner for this one's end. Then it closes what is idle and waits until nothing
+// is owed. What comes meanwhile has no more time than is left.
+func (f *Front) Stop(ctx context.Context, ln net.Listener, within time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	f.until.Store(int64(f.loop.Now() + within - answerGrace))
 	f.draining.Store(true)
 	select {
-	case <-time.After(lingering):
+	case <-time.After(within * 2 / 3):
 	case <-ctx.Done():
 	}
+	f.closing.Store(true)
 	ln.Close()
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -139,7 +139,7 @@
 
 // handle answers one request and tells whether the connection stays.
 func (c *frontConn) handle(m *protocol.Message, buf []byte) bool {
-	last := func() bool { return m.Close || c.beyond || c.front.draining.Load() }
+	last := func() bool { return m.Close || c.beyond || c.front.closing.Load() }
 	if path, _, _ := strings.Cut(m.Start[1], "?"); path == "/health/ready" {
 		r := protocol.Reply{Status: 200, Why: "ready"}
 		if m.Start[0] != "GET" {
@@ -170,7 +170,11 @@
 	loop := c.front.loop
 	answer := make(chan routing.Answer, 1)
 	c.answer = answer
-	op := &routing.Operation{Class: figures.Class, Deadline: loop.Now() + figures.TimeLeft, Hint: figures.Hint,
+	deadline := loop.Now() + figures.TimeLeft
+	if c.front.draining.Load() { // the process may be killed after that, and the operation lost
+		deadline = min(deadline, time.Duration(c.front.until.Load()))
+	}
+	op := &routing.Operation{Class: figures.Class, Deadline: deadline, Hint: figures.Hint,
 		Repeat: figures.Repeat, Payload: m, Key: figures.ID, Left: func() bool { return peek(c.conn) == broken }}
 	op.Done = func(a routing.Answer) {
 		answer <- a                             // not c.answer: a late answer must not reach the next operation
