Take a destination for gone when another name is told at its address

Both names were sent to then, so a cold process would get twice its share, and the old one's idle connections would lead to the new one. At fault: applyPool, which looked at names alone. Checked: 50 names in turn at one address leave two destinations; without the change the test waits for ever for the first to be closed to.

--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -50,10 +50,11 @@
 		return 0
 	})
 	servers := make([]balance.Server, 0, len(members))
-	named := map[string]bool{}
+	named, at := map[string]bool{}, map[string]bool{}
 	for _, m := range members {
 		d := l.pool.name(m.Name)
 		named[m.Name] = true
+		at[m.Address] = at[m.Address] || m.State == balance.Ready
 		if m.Address != d.Address && m.Address != "" {
 			if d.Address != "" { // it has moved: a new value, for attempts that are out hold the old one
 				l.carrier.CloseIdle(d)
@@ -68,12 +69,16 @@
 			l.pool.drop(d)
 		}
 	}
-	if kind != balance.Delta {
-		for name, d := range l.pool.byName {
-			if !named[name] { // a whole list leaves out what is gone
-				l.closeTo(d, true)
-				l.pool.drop(d)
-			}
+	for name, d := range l.pool.byName {
+		switch {
+		case named[name]:
+		case kind != balance.Delta: // a whole list leaves out what is gone
+			l.closeTo(d, true)
+			l.pool.drop(d)
+		case at[d.Address]: // another is there now, so this one is gone: sent to by both names, it would get twice its share
+			l.closeTo(d, true)
+			l.pool.drop(d)
+			servers = append(servers, balance.Server{ID: d.ID, State: balance.Gone})
 		}
 	}
 	l.balancer.Members(l.Now(), kind, servers)
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"flag"
+	"fmt"
 	"io"
 	"log/slog"
 	"os"
@@ -206,6 +207,21 @@
 	}
 }
 
+// Two names at one address are two processes, one after the other: once the second is told of, the first is gone, and
+// nothing that is kept by destination grows with the number of names.
+func TestAddressTakenOver(t *testing.T) {
+	l, f := start(t, limits)
+	for i := range 50 {
+		l.Pool(balance.Delta, int64(5+i), []Member{{Name: fmt.Sprint("c", i), Address: "a:1", State: balance.Ready}})
+		if d := <-f.closed; d.Address != "a:1" || !d.Closed() {
+			t.Fatalf("%s at %s is closed to", d.Name, d.Address)
+		}
+	}
+	if sync(l); len(l.pool.byName) != 2 || len(l.pool.byID) != 2 {
+		t.Errorf("%d names and %d ids are kept", len(l.pool.byName), len(l.pool.byID))
+	}
+}
+
 // Ids are a hash of the name: the same whatever order the names come in, and never shared.
 func TestIDs(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
