Serve a request that comes as its connection's time runs out

Found by reading frontConn.serve: where the goroutine runs late, the read fails at its time although a whole request waits on the socket, and a usual client was told 408. Now that is looked for first; a request partly read still ends. Checked: the new test gets 408 without the change. TestAddressTakenOver now fails at once where it waited.

--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -213,6 +213,9 @@
 	l, f := start(t, limits)
 	for i := range 50 {
 		l.Pool(balance.Delta, int64(5+i), []Member{{Name: fmt.Sprint("c", i), Address: "a:1", State: balance.Ready}})
+		if sync(l); len(f.closed) != 1 {
+			t.Fatalf("%d destinations are closed to", len(f.closed))
+		}
 		if d := <-f.closed; d.Address != "a:1" || !d.Closed() {
 			t.Fatalf("%s at %s is closed to", d.Name, d.Address)
 		}
--- a/internal/transport/front_test.go
+++ b/internal/transport/front_test.go
@@ -312,3 +312,34 @@
 		}
 	}
 }
+
+// A request that came as the connection's time ran out is served, not told that it was slow.
+func TestRequestAtTheLastMoment(t *testing.T) {
+	f, _ := sidecar(t, 4, server(t, echo))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	client, r := dial(t, ln)
+	io.WriteString(client, look)
+	conn, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 1000 {
+		if peek(conn) == waits {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	c := &frontConn{front: f, conn: conn, since: time.Now().Add(-time.Hour)}
+	f.mu.Lock()
+	f.conns[c] = struct{}{}
+	f.live++
+	f.mu.Unlock()
+	go c.serve()
+	if status, _ := answer(t, r); status != "200" {
+		t.Errorf("answered %s", status)
+	}
+}
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -98,11 +98,14 @@
 		case n > 0 || err == nil:
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			if !time.Now().Before(until) {
-				if at != coming && peek(c.conn) != waits {
+				if at == coming {
+					c.refuse(&protocol.Error{Status: 408, Why: "the request took too long to come"})
 					return
 				}
-				c.refuse(&protocol.Error{Status: 408, Why: "the request took too long to come"})
-				return
+				if peek(c.conn) != waits {
+					return
+				}
+				until = time.Now().Add(slowRequest) // it came as the time ran out
 			}
 		default:
 			if at == coming && errors.Is(err, io.EOF) {
