--- /dev/null
+++ b/cmd/kitewood-lab/main.go
@@ -0,0 +1,120 @@
+// Command kitewood-lab proves kitewood: an emulator of the platform round real sidecars, an open-loop load generator,
+// drills, comparisons and reports.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"kitewood/internal/lab/scenario"
+	"kitewood/scenarios"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := command().Run(ctx, os.Args)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "kitewood-lab:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "kitewood-lab",
+		Usage: "emulate the platform round real kitewood sidecars, load them, and judge what reached the stand-ins",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "debug, info, warn or error"},
+			&cli.StringFlag{Name: "kitewood", Usage: "the sidecar's program (default: kitewood beside this program)"},
+		},
+		Commands: []*cli.Command{demoCommand(), runCommand(), emulateCommand(), checkCommand(), listCommand(), loadCommand(), recordCommand(),
+			replayCommand(), drillCommand(), compareCommand(), reportCommand()},
+	}
+}
+
+func logger(c *cli.Command) (*slog.Logger, error) {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(c.String("log-level"))); err != nil {
+		return nil, fmt.Errorf("--log-level: %w", err)
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})), nil
+}
+
+// sidecarProgram finds the program that the emulator starts.
+func sidecarProgram(c *cli.Command) (string, error) {
+	path := c.String("kitewood")
+	if path == "" {
+		own, err := os.Executable()
+		if err != nil {
+			return "", err
+		}
+		path = filepath.Join(filepath.Dir(own), "kitewood")
+	}
+	if info, err := os.Stat(path); err != nil || info.IsDir() || info.Mode()&0o111 == 0 {
+		return "", fmt.Errorf("%s is no program: build it beside kitewood-lab, or name it with --kitewood", path)
+	}
+	return filepath.Abs(path)
+}
+
+// one is the single argument of a command.
+func one(c *cli.Command, what string) (string, error) {
+	if c.Args().Len() != 1 {
+		return "", fmt.Errorf("%s takes one %s, not %d", c.Name, what, c.Args().Len())
+	}
+	return c.Args().First(), nil
+}
+
+func findScenario(name string) (*scenario.Scenario, error) {
+	file, text, err := scenarios.Find(name)
+	if err != nil {
+		return nil, fmt.Errorf("no scenario %s: it is neither a file nor one that ships (kitewood-lab list)", name)
+	}
+	return scenario.Read(file, text)
+}
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name: "check", Usage: "read a scenario file and say what is wrong with it, by line and key", ArgsUsage: "FILE",
+		Action: func(_ context.Context, c *cli.Command) error {
+			name, err := one(c, "scenario")
+			if err != nil {
+				return err
+			}
+			s, err := findScenario(name)
+			if err != nil {
+				return err
+			}
+			plan := s.Lay(s.Seed)
+			fmt.Fprintf(c.Root().Writer, "ok: %s, %s, %d tiers, %d machines, %.1f requests/s, %d events\n", s.Name, s.Duration.D(),
+				len(s.Tiers), len(plan.Machines), plan.Rate, len(plan.Events))
+			return nil
+		},
+	}
+}
+
+func listCommand() *cli.Command {
+	return &cli.Command{
+		Name: "list", Usage: "name the scenarios that ship",
+		Action: func(_ context.Context, c *cli.Command) error {
+			var all []error
+			for _, name := range scenarios.Names() {
+				s, err := findScenario(name)
+				if err != nil {
+					all = append(all, err)
+					continue
+				}
+				fmt.Fprintf(c.Root().Writer, "%-18s %6s  %s\n", name, s.Duration.D(), s.About)
+			}
+			return errors.Join(all...)
+		},
+	}
+}
--- /dev/null
+++ b/cmd/kitewood-lab/run.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"kitewood/internal/lab/emulator"
+	"kitewood/internal/lab/ledger"
+	"kitewood/internal/lab/report"
+	"kitewood/internal/lab/results"
+	"kitewood/internal/lab/scenario"
+)
+
+// play is one run of a scenario, kept in a folder.
+type play struct {
+	scenario *scenario.Scenario
+	seed     uint64
+	binary   string
+	out      string
+	log      *slog.Logger
+	progress func(emulator.Progress)
+	page     bool
+}
+
+func (p play) run(ctx context.Context) (dir string, sum *results.Summary, breaches []ledger.Breach, err error) {
+	started := time.Now()
+	if dir, err = results.Folder(p.out, p.scenario.Name, p.seed, started); err != nil {
+		return
+	}
+	r, err := emulator.Run(ctx, emulator.Options{Scenario: p.scenario, Seed: p.seed, Binary: p.binary, Dir: dir, Log: p.log,
+		Progress: p.progress})
+	if r == nil {
+		return dir, nil, nil, err
+	}
+	head := results.Head("run", p.scenario.Name, p.seed, started)
+	head.Binary = p.binary
+	sum, breaches, kerr := results.KeepRun(dir, p.scenario, head, r)
+	if err == nil {
+		err = kerr
+	}
+	if err == nil && p.page {
+		_, err = report.Keep(dir)
+	}
+	return dir, sum, breaches, err
+}
+
+func runCommand() *cli.Command {
+	return &cli.Command{
+		Name: "run", Usage: "play a scenario on real sidecars and judge it", ArgsUsage: "SCENARIO",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Usage: "of all draws (default: the scenario's)"},
+			&cli.DurationFlag{Name: "duration", Usage: "play so long instead of the scenario's duration"},
+			&cli.StringFlag{Name: "out", Usage: "folder of the results (default: one under lab-results/)"},
+			&cli.BoolFlag{Name: "json", Usage: "print summary.json instead of tables"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			name, err := one(c, "scenario")
+			if err != nil {
+				return err
+			}
+			return playScenario(ctx, c, name, c.Bool("json"))
+		},
+	}
+}
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name: "demo", Usage: "three tiers with real sidecars for 20 s while machines vanish and slow down: service, rules, latency",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "out", Usage: "folder of the results (default: one under lab-results/)"},
+			&cli.Uint64Flag{Name: "seed", Usage: "of all draws (default: the scenario's)"},
+			&cli.DurationFlag{Name: "duration", Usage: "play so long"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Len() > 0 {
+				return fmt.Errorf("demo takes no argument: run plays other scenarios")
+			}
+			return playScenario(ctx, c, "demo", false)
+		},
+	}
+}
+
+func playScenario(ctx context.Context, c *cli.Command, name string, asJSON bool) error {
+	s, err := findScenario(name)
+	if err != nil {
+		return err
+	}
+	if d := c.Duration("duration"); d > 0 {
+		s.Duration = scenario.Duration(d)
+		s.Warmup = min(s.Warmup, s.Duration/2)
+		s.Cut()
+	}
+	log, err := logger(c)
+	if err != nil {
+		return err
+	}
+	binary, err := sidecarProgram(c)
+	if err != nil {
+		return err
+	}
+	seed := s.Seed
+	if c.IsSet("seed") {
+		seed = c.Uint64("seed")
+	}
+	s.Seed = seed
+	bar := newBar(s.Duration.D())
+	p := play{scenario: s, seed: seed, binary: binary, out: c.String("out"), log: log, progress: bar.run, page: true}
+	if !asJSON {
+		fmt.Fprintf(c.Root().Writer, "%s, seed %d: %s, %.1f requests/s\n", s.Name, seed, s.Duration.D(), s.Lay(seed).Rate)
+	}
+	dir, sum, breaches, err := p.run(ctx)
+	bar.end()
+	if sum != nil {
+		if asJSON {
+			enc := json.NewEncoder(c.Root().Writer)
+			enc.SetIndent("", "  ")
+			if jerr := enc.Encode(sum); jerr != nil {
+				return jerr
+			}
+		} else {
+			runTables(c.Root().Writer, sum, breaches)
+			fmt.Fprintf(c.Root().Writer, "results: %s\nreport:  %s\n", dir, filepath.Join(dir, results.ReportFile))
+		}
+	}
+	if err != nil {
+		return err
+	}
+	if n := sum.Broken(); n > 0 {
+		return fmt.Errorf("%d broken rules in %s", n, filepath.Join(dir, results.VerdictFile))
+	}
+	return nil
+}
+
+func emulateCommand() *cli.Command {
+	return &cli.Command{
+		Name: "emulate", Usage: "start a scenario's instances, discovery and sidecars without clients, print the addresses, and stay up",
+		ArgsUsage: "SCENARIO",
+		Flags:     []cli.Flag{&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "of all draws"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			name, err := one(c, "scenario")
+			if err != nil {
+				return err
+			}
+			s, err := findScenario(name)
+			if err != nil {
+				return err
+			}
+			log, err := logger(c)
+			if err != nil {
+				return err
+			}
+			binary, err := sidecarProgram(c)
+			if err != nil {
+				return err
+			}
+			dir, err := os.MkdirTemp("", "kitewood-lab-")
+			if err != nil {
+				return err
+			}
+			defer os.RemoveAll(dir)
+			w := c.Root().Writer
+			_, err = emulator.Run(ctx, emulator.Options{Scenario: s, Seed: c.Uint64("seed"), Binary: binary, Dir: dir, Log: log, Idle: true,
+				Ready: func(addresses []string) {
+					class := s.Classes[0]
+					method := ""
+					if class.Effect != "safe" {
+						method = "-X POST "
+					}
+					for n, a := range addresses {
+						fmt.Fprintf(w, "front-%d  http://%s\n", n, a)
+					}
+					fmt.Fprintf(w, "\ntry: curl -i %s-H 'X-Correlation-Id: %s' 'http://%s/%s?work_us=%d'\nCtrl-C ends it; sidecars' logs: %s\n",
+						method, "hand-$RANDOM", addresses[0], class.Name, class.Work.D().Microseconds(), filepath.Join(dir, "sidecars"))
+				}})
+			if err != nil && ctx.Err() != nil && strings.Contains(err.Error(), "context canceled") {
+				return nil
+			}
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/cmd/kitewood-lab/show.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"time"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+	"github.com/jedib0t/go-pretty/v6/text"
+	"github.com/schollz/progressbar/v3"
+	"golang.org/x/term"
+
+	"kitewood/internal/lab/emulator"
+	"kitewood/internal/lab/ledger"
+	"kitewood/internal/lab/load"
+	"kitewood/internal/lab/results"
+)
+
+// bar is the line that shows how a run goes; on something other than a terminal it is silent.
+type bar struct {
+	b *progressbar.ProgressBar
+}
+
+func newBar(of time.Duration) *bar {
+	if !term.IsTerminal(int(os.Stderr.Fd())) {
+		return &bar{}
+	}
+	return &bar{progressbar.NewOptions(int(of/time.Second), progressbar.OptionSetWriter(os.Stderr), progressbar.OptionSetWidth(24),
+		progressbar.OptionSetElapsedTime(true), progressbar.OptionSetPredictTime(false), progressbar.OptionClearOnFinish())}
+}
+
+func (b *bar) set(elapsed time.Duration, words string) {
+	if b.b != nil {
+		b.b.Describe(words)
+		b.b.Set(min(int(elapsed/time.Second), b.b.GetMax()))
+	}
+}
+
+func (b *bar) run(p emulator.Progress) {
+	b.set(p.Elapsed, fmt.Sprintf("%4.0f/s  in time %.3f  errors %d", p.Rate, p.InTime, p.Errors))
+}
+
+func (b *bar) load(p load.Progress) {
+	s := p.Summary
+	b.set(p.Elapsed, fmt.Sprintf("%6.0f/s  ok %d  errors %d  p99 %.1f ms", float64(s.Intended)/p.Elapsed.Seconds(), s.OK,
+		s.Failed+s.TimedOut, s.Latency.P99))
+}
+
+func (b *bar) end() {
+	if b.b != nil {
+		b.b.Finish()
+	}
+}
+
+func newTable(w io.Writer, head ...any) table.Writer {
+	t := table.NewWriter()
+	t.SetOutputMirror(w)
+	t.SetStyle(table.StyleLight)
+	t.Style().Format.Header = text.FormatDefault // upper case would spoil units
+	t.AppendHeader(head)
+	return t
+}
+
+func runTables(w io.Writer, s *results.Summary, breaches []ledger.Breach) {
+	v := s.Service
+	t := newTable(w, "service", "share")
+	t.AppendRow(table.Row{"service, penalties off", f3(v.Service)})
+	t.AppendRow(table.Row{"whole run", f3(v.Whole)})
+	t.AppendRow(table.Row{"worst 10 s", f3(v.WorstWindow)})
+	t.AppendRow(table.Row{"worst class", f3(v.WorstClass)})
+	var classes []string
+	for name := range v.Classes {
+		classes = append(classes, name)
+	}
+	sort.Strings(classes)
+	for _, name := range classes {
+		t.AppendRow(table.Row{"  " + name, f3(v.Classes[name])})
+	}
+	t.Render()
+	t = newTable(w, "asked", "in time", "late", "refused", "failed", "no answer", "attempts/operation", "overdriven", "pushed over")
+	t.AppendRow(table.Row{v.Clients, v.InTime, v.Late, v.Refused, v.Failed, v.Unanswered, f3(v.PerCall), v.Choked, v.Fallen})
+	t.Render()
+	t = newTable(w, "rule", "broken")
+	for _, name := range ledger.RuleNames {
+		t.AppendRow(table.Row{name, s.Rules[name]})
+	}
+	t.Render()
+	latencyTable(w, "latency from the intended time (ms)", s.Latency)
+	if p := s.Processes; p != nil {
+		t = newTable(w, "sidecars", "rest MiB", "peak MiB, first tier", "peak MiB, most", "CPU µs/operation, first tier", "all")
+		t.AppendRow(table.Row{p.Count, f1(p.RestMB), f1(p.FirstPeakMB), f1(p.PeakMB), f1(p.FirstMicros), f1(p.CPUMicros)})
+		t.Render()
+	}
+	for n, b := range breaches {
+		if n == 8 {
+			fmt.Fprintf(w, "and %d more in %s\n", len(breaches)-n, results.VerdictFile)
+			break
+		}
+		fmt.Fprintln(w, b)
+	}
+	if s.CutShort {
+		fmt.Fprintln(w, "cut short: these figures tell of what was seen until then")
+	}
+}
+
+func latencyTable(w io.Writer, name string, l load.LatencyMS) {
+	t := newTable(w, name, "p50", "p90", "p99", "p99.9", "max", "mean")
+	t.AppendRow(table.Row{"", f1(l.P50), f1(l.P90), f1(l.P99), f1(l.P999), f1(l.Max), f1(l.Mean)})
+	t.Render()
+}
+
+func f1(v float64) string { return fmt.Sprintf("%.1f", v) }
+func f3(v float64) string { return fmt.Sprintf("%.3f", v) }
--- /dev/null
+++ b/internal/lab/drill/drill.go
@@ -0,0 +1,86 @@
+// Package drill keeps the lab's drills: each causes a failure with real processes and tells, from the stand-ins' ledger
+// or a hand-computed result, whether a promise held.
+package drill
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+)
+
+// Options say how to run a drill.
+type Options struct {
+	Short   bool // the form that CI runs
+	Seed    uint64
+	Repeats int    // of the failure; 0 for the drill's own number
+	Binary  string // kitewood
+	Lab     string // kitewood-lab
+	Dir     string // for what it leaves; it is there
+	Log     *slog.Logger
+}
+
+// Figure is one figure of a drill, with the bound that it was held to, if any.
+type Figure struct {
+	Name  string
+	Value float64
+	Bound string // empty for a figure that is only told
+	Held  bool
+}
+
+// Outcome is what a drill found. Its promise held if every bounded figure did.
+type Outcome struct {
+	Figures []Figure
+	Notes   []string // what an operator should see of a broken promise
+}
+
+// Tell adds a figure without a bound.
+func (o *Outcome) Tell(name string, v float64) {
+	o.Figures = append(o.Figures, Figure{Name: name, Value: v, Held: true})
+}
+
+// Hold adds a figure with the bound that it is held to.
+func (o *Outcome) Hold(name string, v float64, bound string, held bool) {
+	o.Figures = append(o.Figures, Figure{name, v, bound, held})
+}
+
+// Pass tells whether the promise held. A drill that held nothing to a bound has proved nothing.
+func (o *Outcome) Pass() bool {
+	bounded := false
+	for _, f := range o.Figures {
+		if !f.Held {
+			return false
+		}
+		bounded = bounded || f.Bound != ""
+	}
+	return bounded
+}
+
+// Drill is one promise and the failure that tries it.
+type Drill struct {
+	Name  string
+	About string
+	Run   func(context.Context, Options) (*Outcome, error)
+}
+
+// All are the drills, by name.
+func All() []Drill {
+	all := []Drill{rulesDrill, stallDrill, rateDrill, leftoversDrill, calmDrill}
+	slices.SortFunc(all, func(a, b Drill) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// Find is a drill by its name.
+func Find(name string) (Drill, error) {
+	for _, d := range All() {
+		if d.Name == name {
+			return d, nil
+		}
+	}
+	return Drill{}, fmt.Errorf("no drill %q: see kitewood-lab drill list", name)
+}
--- /dev/null
+++ b/internal/lab/emulator/blockade.go
@@ -0,0 +1,51 @@
+package emulator
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// blockade makes a listener look like a machine that is cut off: the queue of connections that nobody accepts is made
+// as short as it goes and filled, so the system drops further attempts to connect without a word.
+type blockade struct {
+	mu     sync.Mutex
+	full   []net.Conn
+	lifted bool
+}
+
+func newBlockade(ln *net.TCPListener, tasks *tasks) *blockade {
+	b := &blockade{}
+	ln.SetDeadline(time.Unix(1, 0)) // ends its Accept; connections queue from here on
+	if raw, err := ln.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) { syscall.Listen(int(fd), 0) })
+	}
+	tasks.Go(func() {
+		for range 64 {
+			ctx, cancel := context.WithTimeout(context.Background(), 60*time.Millisecond)
+			c, err := (&net.Dialer{}).DialContext(ctx, "tcp", ln.Addr().String())
+			cancel()
+			if err != nil {
+				return
+			}
+			b.mu.Lock()
+			if b.full = append(b.full, c); b.lifted {
+				c.Close()
+			}
+			b.mu.Unlock()
+		}
+	})
+	return b
+}
+
+// lift lets the fillers go; the listener is closed by its owner, which resets whatever queued.
+func (b *blockade) lift() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lifted = true
+	for _, c := range b.full {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/internal/lab/emulator/sidecar.go
@@ -0,0 +1,211 @@
+package emulator
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"kitewood/internal/lab/httpc"
+	"kitewood/internal/lab/ledger"
+)
+
+// sidecar is a kitewood process and its place. Its name, address and index stay over restarts.
+type sidecar struct {
+	w      *World
+	name   string
+	tier   int
+	index  int
+	listen string
+	me, of int
+
+	mu      sync.Mutex
+	process *process
+	pool    *httpc.Pool
+}
+
+// process is one life of a sidecar.
+type process struct {
+	cmd      *exec.Cmd
+	ended    chan struct{}
+	expected bool // the lab has ended it
+	rest     int64
+	peak     int64
+}
+
+// Process is what one sidecar process used.
+type Process struct {
+	Name      string  `json:"name"`
+	Tier      int     `json:"tier"`
+	RestMB    float64 `json:"rest_mb"`
+	PeakMB    float64 `json:"peak_mb"`
+	CPUSecond float64 `json:"cpu_s"`
+}
+
+const (
+	readyWithin = 10 * time.Second
+	killMargin  = 700 * time.Millisecond // after the longest deadline, as the protocol has it
+)
+
+// configure writes the configuration file as the platform would.
+func (s *sidecar) configure() error {
+	limits := s.w.s.Sidecar
+	text, err := json.MarshalIndent(map[string]any{
+		"name": s.name, "listen": s.listen, "discovery": s.w.registry.address(s),
+		"seed":     fmt.Sprintf("%016x", hash(s.name)^s.w.seed),
+		"limits":   map[string]any{"cores": limits.Cores, "memory_mb": limits.MemoryMB, "sockets": limits.Sockets},
+		"known":    s.w.registry.cached(s),
+		"settings": s.w.s.Settings(s.tier, s.me, s.of),
+	}, "", " ")
+	if err != nil {
+		return err
+	}
+	next := s.file("json") + ".new" // replaced whole, as the sidecar may be reading it
+	if err := os.WriteFile(next, text, 0o644); err != nil {
+		return err
+	}
+	return os.Rename(next, s.file("json"))
+}
+
+func (s *sidecar) file(ext string) string { return filepath.Join(s.w.dir, "sidecars", s.name+"."+ext) }
+
+// start runs the process and waits until it is ready.
+func (s *sidecar) start() error {
+	if err := s.configure(); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(s.file("log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	p := &process{cmd: exec.Command(s.w.binary, "serve"), ended: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+s.file("json"))
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	if err := s.w.starter.start(p.cmd); err != nil {
+		return err
+	}
+	s.w.book.Add(ledger.Entry{Kind: ledger.Up, Sidecar: s.name, Tier: s.tier})
+	s.mu.Lock()
+	s.process = p
+	if s.pool == nil {
+		s.pool = httpc.NewPool(httpc.Options{Address: s.listen, ConnectTimeout: time.Second, Extra: s.w.extra})
+	}
+	s.mu.Unlock()
+	s.w.tasks.Go(func() { s.watch(p) })
+	text := httpc.Text("GET", "/health/ready", "backend.local", nil)
+	for until := time.Now().Add(readyWithin); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		check := httpc.NewPool(httpc.Options{Address: s.listen})
+		r := check.Do("", "GET", text, time.Now().Add(time.Second))
+		check.Close()
+		if r.Status == 200 {
+			p.rest = memory(p.cmd.Process.Pid, "VmRSS")
+			return nil
+		}
+		select {
+		case <-p.ended:
+			return fmt.Errorf("sidecar %s ended before it was ready: %s", s.name, s.lastLine())
+		default:
+		}
+	}
+	return fmt.Errorf("sidecar %s was not ready within %s: %s", s.name, readyWithin, s.lastLine())
+}
+
+// watch waits for the end of a process; one that the lab has not asked for is a crash.
+func (s *sidecar) watch(p *process) {
+	p.cmd.Wait()
+	s.mu.Lock()
+	expected := p.expected
+	s.mu.Unlock()
+	if !expected {
+		s.w.book.Add(ledger.Entry{Kind: ledger.Crashed, Sidecar: s.name, Tier: s.tier,
+			Note: p.cmd.ProcessState.String() + ": " + s.lastLine()})
+	}
+	cpu := p.cmd.ProcessState.UserTime() + p.cmd.ProcessState.SystemTime()
+	s.mu.Lock()
+	peak := p.peak
+	s.mu.Unlock()
+	s.w.addProcess(Process{Name: s.name, Tier: s.tier, RestMB: float64(p.rest) / (1 << 20), PeakMB: float64(peak) / (1 << 20),
+		CPUSecond: cpu.Seconds()})
+	close(p.ended)
+}
+
+// lastLine is the last line of the sidecar's log.
+func (s *sidecar) lastLine() string {
+	text, _ := os.ReadFile(s.file("log"))
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return lines[len(lines)-1]
+}
+
+// measure takes the highest memory that the process has had.
+func (s *sidecar) measure() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.process; p != nil {
+		p.peak = max(p.peak, memory(p.cmd.Process.Pid, "VmHWM"))
+	}
+}
+
+// signal sends a signal to the process, if it runs. end says that its end is wanted.
+func (s *sidecar) signal(sig syscall.Signal, end bool) *process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.process == nil {
+		return nil
+	}
+	if end {
+		s.process.expected = true
+		s.process.peak = max(s.process.peak, memory(s.process.cmd.Process.Pid, "VmHWM"))
+	}
+	s.process.cmd.Process.Signal(sig)
+	return s.process
+}
+
+// freeze stops the process where it is, as a machine that is cut off looks from outside.
+func (s *sidecar) freeze() { s.signal(syscall.SIGSTOP, false) }
+
+// kill ends it outright.
+func (s *sidecar) kill() {
+	s.w.book.Add(ledger.Entry{Kind: ledger.Down, Sidecar: s.name, Tier: s.tier})
+	if p := s.signal(syscall.SIGKILL, true); p != nil {
+		<-p.ended
+	}
+}
+
+// term ends it by SIGTERM, and outright once the longest deadline has passed.
+func (s *sidecar) term() {
+	p := s.signal(syscall.SIGTERM, true)
+	if p == nil {
+		return
+	}
+	longest := 3 * time.Second
+	for _, c := range s.w.s.Classes {
+		longest = max(longest, c.GiveUp.D())
+	}
+	select {
+	case <-p.ended:
+	case <-time.After(longest + killMargin):
+		s.kill()
+	}
+}
+
+// client is the pool of connections to it.
+func (s *sidecar) client() *httpc.Pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool
+}
+
+// reload replaces the configuration file and says so by SIGHUP.
+func (s *sidecar) reload() error {
+	if err := s.configure(); err != nil {
+		return err
+	}
+	s.signal(syscall.SIGHUP, false)
+	return nil
+}
--- /dev/null
+++ b/internal/lab/emulator/timeline.go
@@ -0,0 +1,158 @@
+package emulator
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"kitewood/internal/lab/ledger"
+	"kitewood/internal/lab/model"
+	"kitewood/internal/lab/scenario"
+)
+
+// timeline does what the plan says, each thing at its time. What takes long goes on beside it.
+func (w *World) timeline(ctx context.Context) {
+	var open tasks
+	defer open.Wait()
+	for _, e := range w.plan.Events {
+		if !w.sleep(ctx, e.At) {
+			return
+		}
+		w.log.Debug("timeline", "at", w.book.Now().Round(time.Millisecond), "event", e.String())
+		w.book.Add(ledger.Entry{Kind: ledger.Trouble, Instance: e.Instance, Note: e.String()})
+		if i := w.instance(e.Instance); i != nil {
+			w.happen(i, e, &open)
+			continue
+		}
+		switch e.Do {
+		case scenario.Start:
+			open.Go(func() { w.startMachine(*e.Machine) })
+		case scenario.RestartSidecar:
+			open.Go(func() { w.restart(ctx, w.first[e.Sidecar]) })
+		case scenario.KillSidecar:
+			open.Go(func() { w.killSidecar(w.first[e.Sidecar]) })
+		case scenario.MoveDiscovery:
+			w.registry.move()
+			w.reload()
+		case scenario.DiscoveryDown:
+			w.registry.down()
+		case scenario.DiscoveryUp:
+			w.registry.up()
+		}
+	}
+}
+
+// happen does something to an instance.
+func (w *World) happen(i *instance, e scenario.Event, open *tasks) {
+	now := w.book.Now()
+	d := &w.s.Discovery
+	switch e.Do {
+	case scenario.Vanish:
+		i.do(i.vanish)
+		w.registry.change(i.machine, model.Gone, i.since, d.SilentNotice.D())
+	case scenario.Return:
+		open.Go(func() { w.bringBack(i) })
+	case scenario.Slow:
+		i.do(func() { i.model.Slow(now, e.Factor) })
+	case scenario.Pause:
+		i.do(func() { i.model.Pause(now, e.Span) })
+	case scenario.LateReports:
+		i.do(func() { i.model.LateReports(now, e.Span) })
+	case scenario.SpoilAnswers:
+		i.do(func() { i.model.Spoil(now, e.Factor) })
+	case scenario.Drain:
+		i.do(func() { i.model.Drain(now) })
+		w.registry.change(i.machine, model.Terminating, i.since, d.Notice.D()/2)
+	case scenario.Stop:
+		i.do(i.down)
+		w.registry.change(i.machine, model.Gone, i.since, d.Notice.D()/2)
+		if i.beside != nil {
+			open.Go(i.beside.kill)
+		}
+	}
+}
+
+// startMachine starts an instance that is new, its sidecar first.
+func (w *World) startMachine(m scenario.Machine) {
+	var beside *sidecar
+	if below := m.Tier + 1; below < len(w.s.Tiers) {
+		beside = w.newSidecar(w.s.Tiers[below].Name+"@"+m.Name, below, m.Number, w.s.Tiers[m.Tier].Instances)
+		if err := w.enroll(beside); err != nil {
+			w.fail(err)
+			return
+		}
+	}
+	i := newInstance(w, m, true, beside)
+	w.place(i)
+	w.mu.Lock()
+	sidecars := w.sidecars
+	w.mu.Unlock()
+	for _, s := range sidecars {
+		if s.tier == m.Tier {
+			i.do(func() { i.admit(s) })
+		}
+	}
+	w.registry.change(m, model.Ready, i.since, w.s.Discovery.Add.D())
+}
+
+// bringBack brings a machine back that had vanished, with processes that are new.
+func (w *World) bringBack(i *instance) {
+	if s := i.beside; s != nil {
+		s.kill()
+		if err := s.start(); err != nil {
+			w.fail(err)
+			return
+		}
+	}
+	i.do(func() { i.back(i.beside) })
+	w.registry.change(i.machine, model.Ready, i.since, w.s.Discovery.Add.D())
+}
+
+// restart is a planned restart of a sidecar: the front layer learns of it first.
+func (w *World) restart(ctx context.Context, s *sidecar) {
+	w.died(s, 300*time.Millisecond)
+	s.term()
+	w.again(s)
+}
+
+// killSidecar ends a sidecar outright; the front layer learns late, and it is started again at once.
+func (w *World) killSidecar(s *sidecar) {
+	w.died(s, w.s.Front.Notice.D())
+	s.kill()
+	w.again(s)
+}
+
+func (w *World) died(s *sidecar, notice time.Duration) {
+	w.frontMu.Lock()
+	defer w.frontMu.Unlock()
+	w.front.Notice = notice
+	w.front.Died(w.book.Now(), s.name)
+}
+
+func (w *World) again(s *sidecar) {
+	if err := s.start(); err != nil {
+		w.fail(err)
+		return
+	}
+	w.frontMu.Lock()
+	defer w.frontMu.Unlock()
+	w.front.Admit(s.name)
+}
+
+// reload gives every sidecar its configuration anew, and says so by SIGHUP.
+func (w *World) reload() {
+	w.mu.Lock()
+	sidecars := w.sidecars
+	w.mu.Unlock()
+	for _, s := range sidecars {
+		s.mu.Lock()
+		runs := s.process != nil && !s.process.expected
+		s.mu.Unlock()
+		if !runs {
+			continue
+		}
+		if err := s.reload(); err != nil {
+			w.fail(fmt.Errorf("reload of %s: %w", s.name, err))
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/ledger/ledger.go
@@ -0,0 +1,130 @@
+// Package ledger holds what reached the stand-ins of a run, by operation id and time, and judges the rules and the
+// service from that alone. What a program says of itself does not count here.
+package ledger
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Kind is what an entry tells.
+type Kind string
+
+// The kinds of entries.
+const (
+	Asked    Kind = "asked"    // a caller's try, its last byte written: the sidecar has taken it
+	Unasked  Kind = "unasked"  // a caller's try that was never written whole
+	Answered Kind = "answered" // an answer that a caller got
+	GaveUp   Kind = "gave-up"  // no answer until the caller's deadline
+	Broken   Kind = "broken"   // the connection ended without a whole answer
+	Left     Kind = "left"     // the caller was gone before (its machine died)
+	Extra    Kind = "extra"    // bytes came behind the answer of this operation
+	Begun    Kind = "begun"    // the first byte of an attempt reached an instance
+	Arrived  Kind = "arrived"  // its last byte did
+	Ended    Kind = "ended"    // the instance ended it; Outcome tells how
+	Closed   Kind = "closed"   // its connection ended
+	Opened   Kind = "opened"   // a new connection to an instance
+	Probed   Kind = "probed"   // a probe at an instance
+	Told     Kind = "told"     // discovery has written a change to a sidecar
+	Life     Kind = "life"     // an instance started; its capacity stands here
+	Fell     Kind = "fell"     // an instance was pushed over
+	Choked   Kind = "choked"   // an instance was overdriven
+	Up       Kind = "up"       // a sidecar was started
+	Down     Kind = "down"     // a sidecar was ended by the timeline
+	Crashed  Kind = "crashed"  // a sidecar ended by itself
+	Trouble  Kind = "trouble"  // the timeline did something; Note tells
+)
+
+// Entry is one line of the ledger. Fields that a kind has no use for are empty.
+type Entry struct {
+	At       time.Duration `json:"at"` // since the start of the run, in nanoseconds
+	Kind     Kind          `json:"kind"`
+	ID       string        `json:"id,omitempty"`     // X-Correlation-Id
+	Client   int           `json:"client,omitempty"` // the piece of business that a first-tier try belongs to, from 1
+	Tier     int           `json:"tier"`
+	Class    int           `json:"class"`
+	Sidecar  string        `json:"sidecar,omitempty"`
+	Instance string        `json:"instance,omitempty"`
+	Copy     uint64        `json:"copy,omitempty"` // the attempt; no two share it
+	Status   int           `json:"status,omitempty"`
+	Outcome  string        `json:"outcome,omitempty"` // of Ended: served, failed, turned, reset; of Told: the status
+	Work     float64       `json:"work,omitempty"`    // core-seconds
+	Deadline time.Duration `json:"deadline,omitempty"`
+	Since    time.Duration `json:"since,omitempty"` // of Life and Told: the start that is meant
+	Capacity float64       `json:"capacity,omitempty"`
+	Repeat   bool          `json:"repeat,omitempty"`
+	Note     string        `json:"note,omitempty"`
+}
+
+// Book collects entries. It may be written to from anywhere; the order is made at the end.
+type Book struct {
+	mu      sync.Mutex
+	entries []Entry
+	start   time.Time
+}
+
+// NewBook starts a book whose times count from start.
+func NewBook(start time.Time) *Book { return &Book{start: start} }
+
+// Now is the time since the start of the run.
+func (b *Book) Now() time.Duration { return time.Since(b.start) }
+
+// Add writes an entry, at the present time if it has none.
+func (b *Book) Add(e Entry) {
+	if e.At == 0 {
+		e.At = b.Now()
+	}
+	b.mu.Lock()
+	b.entries = append(b.entries, e)
+	b.mu.Unlock()
+}
+
+// Entries are the entries so far, in order of time.
+func (b *Book) Entries() []Entry {
+	b.mu.Lock()
+	out := slices.Clone(b.entries)
+	b.mu.Unlock()
+	slices.SortStableFunc(out, func(a, c Entry) int { return int(a.At - c.At) })
+	return out
+}
+
+// Write puts entries out as JSON lines.
+func Write(w io.Writer, entries []Entry) error {
+	buf := bufio.NewWriter(w)
+	enc := json.NewEncoder(buf)
+	for i := range entries {
+		if err := enc.Encode(&entries[i]); err != nil {
+			return err
+		}
+	}
+	return buf.Flush()
+}
+
+// Read takes entries as Write puts them out.
+func Read(r io.Reader) ([]Entry, error) {
+	var out []Entry
+	for dec := json.NewDecoder(r); ; {
+		var e Entry
+		if err := dec.Decode(&e); err == io.EOF {
+			return out, nil
+		} else if err != nil {
+			return out, err
+		}
+		out = append(out, e)
+	}
+}
+
+// Rebase makes now the start of the times. What was entered before stands at the very beginning, in its order.
+func (b *Book) Rebase() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.start = time.Now()
+	for i := range b.entries {
+		b.entries[i].At = 1
+	}
+	return b.start
+}
--- /dev/null
+++ b/internal/lab/ledger/rules.go
@@ -0,0 +1,349 @@
+package ledger
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"sort"
+	"time"
+)
+
+// Rules are the figures by which a ledger is judged.
+type Rules struct {
+	Safe       []bool        // by class: may be repeated
+	Slack      time.Duration // every time limit is longer by this
+	DrainGrace time.Duration // after word that an instance drains or is gone nothing new goes there
+	ToldWithin time.Duration // what discovery published counts as told after this; 0 for never
+	Cold       []Cold        // by tier
+}
+
+// Cold is what a cold instance bears: work of all sidecars within Window, as a multiple of its present capacity.
+type Cold struct {
+	Share        float64
+	Time, Window time.Duration
+	Multiple     float64
+	Slack        float64 // part by which chance may pass the budget
+}
+
+// The names of the rules.
+const (
+	RuleAnswer = "one-answer" // exactly one final answer in time
+	RuleRepeat = "no-repeat"  // nothing that may have run is sent again or refused unless its class allows it
+	RuleCopies = "no-copies"  // never two attempts out at once
+	RuleDrain  = "drain"      // nothing new to what drains or is gone
+	RuleCold   = "cold"       // no cold instance pushed over
+	RuleCrash  = "no-crash"   // no sidecar ends by itself
+	MaxStories = 5            // broken rules whose story is printed, of each rule
+)
+
+// RuleNames are all rules, in the order of the tables.
+var RuleNames = []string{RuleAnswer, RuleRepeat, RuleCopies, RuleDrain, RuleCold, RuleCrash}
+
+// Breach is one broken rule.
+type Breach struct {
+	Rule  string        `json:"rule"`
+	At    time.Duration `json:"at"`
+	ID    string        `json:"id,omitempty"`
+	What  string        `json:"what"`
+	Story []Entry       `json:"story,omitempty"`
+}
+
+func (b Breach) String() string {
+	s := fmt.Sprintf("%s at %s: %s %s", b.Rule, round(b.At), b.What, b.ID)
+	for _, e := range b.Story {
+		s += "\n    " + e.String()
+	}
+	return s
+}
+
+// String tells an entry in a line.
+func (e Entry) String() string {
+	s := fmt.Sprintf("%9.3fs %-8s", e.At.Seconds(), e.Kind)
+	for _, part := range []struct{ name, value string }{{"id", e.ID}, {"sidecar", e.Sidecar}, {"instance", e.Instance},
+		{"outcome", e.Outcome}, {"note", e.Note}} {
+		if part.value != "" {
+			s += " " + part.name + "=" + part.value
+		}
+	}
+	if e.Copy != 0 {
+		s += fmt.Sprintf(" copy=%d", e.Copy)
+	}
+	if e.Status != 0 {
+		s += fmt.Sprintf(" status=%d", e.Status)
+	}
+	if e.Deadline != 0 {
+		s += fmt.Sprintf(" deadline=%.3fs", e.Deadline.Seconds())
+	}
+	return s
+}
+
+func round(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
+// Judge finds the broken rules. Entries are in order of time.
+func Judge(entries []Entry, rules Rules) []Breach {
+	j := &judge{rules: rules, ops: map[string]*op{}, told: map[[2]string][]Entry{}, merged: map[[2]string][]Entry{},
+		up: map[string]time.Duration{}, downs: map[string][]time.Duration{}}
+	for i := range entries {
+		j.take(&entries[i])
+	}
+	for _, id := range j.order {
+		j.answers(j.ops[id])
+		j.repeats(j.ops[id])
+	}
+	j.drains()
+	j.colds(entries)
+	sort.SliceStable(j.out, func(a, b int) bool { return j.out[a].At < j.out[b].At })
+	return j.out
+}
+
+// op is the story of an operation.
+type op struct {
+	id      string
+	entries []Entry
+}
+
+type judge struct {
+	rules  Rules
+	ops    map[string]*op
+	order  []string
+	told   map[[2]string][]Entry // by sidecar and instance; no sidecar: published
+	merged map[[2]string][]Entry
+	up     map[string]time.Duration // the last start of a sidecar
+	begun  []Entry
+	downs  map[string][]time.Duration
+	out    []Breach
+}
+
+func (j *judge) take(e *Entry) {
+	switch e.Kind {
+	case Told:
+		key := [2]string{e.Sidecar, e.Instance}
+		j.told[key] = append(j.told[key], *e)
+	case Up:
+		j.up[e.Sidecar] = e.At
+	case Down:
+		j.downs[e.Sidecar] = append(j.downs[e.Sidecar], e.At)
+	case Crashed:
+		j.downs[e.Sidecar] = append(j.downs[e.Sidecar], e.At)
+		j.breach(RuleCrash, e.At, "", "sidecar "+e.Sidecar+" ended by itself: "+e.Note, nil)
+	case Begun:
+		j.begun = append(j.begun, *e)
+	}
+	if e.ID == "" {
+		return
+	}
+	o := j.ops[e.ID]
+	if o == nil {
+		o = &op{id: e.ID}
+		j.ops[e.ID] = o
+		j.order = append(j.order, e.ID)
+	}
+	o.entries = append(o.entries, *e)
+}
+
+func (j *judge) breach(rule string, at time.Duration, id, what string, story []Entry) {
+	n := 0
+	for _, b := range j.out {
+		if b.Rule == rule {
+			n++
+		}
+	}
+	if n >= MaxStories {
+		story = nil
+	}
+	j.out = append(j.out, Breach{Rule: rule, At: at, ID: id, What: what, Story: story})
+}
+
+func (j *judge) safe(class int) bool { return class < len(j.rules.Safe) && j.rules.Safe[class] }
+
+// answers holds that an operation that was taken has exactly one final answer in time, and one that an instance made.
+func (j *judge) answers(o *op) {
+	var asked *Entry
+	answers, served := 0, map[string]bool{}
+	for i := range o.entries {
+		e := &o.entries[i]
+		switch e.Kind {
+		case Asked:
+			asked = e
+		case Ended:
+			if e.Outcome == "served" {
+				served[e.Note] = true
+			}
+		case Answered:
+			answers++
+			if e.Status == 200 && !served[e.Note] {
+				j.breach(RuleAnswer, e.At, o.id, "served with what no instance made for it:", o.entries)
+			}
+			if asked != nil && e.At > asked.Deadline+j.rules.Slack {
+				j.breach(RuleAnswer, e.At, o.id, "answered after the client gave up:", o.entries)
+			}
+		case Extra:
+			j.breach(RuleAnswer, e.At, o.id, "more than one answer:", o.entries)
+		}
+	}
+	if answers > 1 {
+		j.breach(RuleAnswer, o.entries[len(o.entries)-1].At, o.id, "more than one answer:", o.entries)
+	}
+	if asked == nil || answers > 0 {
+		return
+	}
+	for _, e := range o.entries {
+		lost := e.Kind == GaveUp || e.Kind == Broken
+		if lost && !j.wasDown(asked.Sidecar, asked.At, e.At) {
+			j.breach(RuleAnswer, e.At, o.id, "no final answer:", o.entries)
+		}
+	}
+}
+
+// wasDown tells whether the timeline ended a sidecar while it had an operation.
+func (j *judge) wasDown(sidecar string, from, to time.Duration) bool {
+	for _, at := range j.downs[sidecar] {
+		if at >= from-time.Second && at <= to+time.Second {
+			return true
+		}
+	}
+	return false
+}
+
+// repeats holds that what may have run is neither sent again nor refused unless its class is safe, and that no two
+// attempts are out at once.
+func (j *judge) repeats(o *op) {
+	type attempt struct {
+		arrived, ended time.Duration
+		over, turned   bool
+	}
+	var order []uint64
+	all := map[uint64]*attempt{}
+	for i := range o.entries {
+		e := &o.entries[i]
+		a := all[e.Copy]
+		switch e.Kind {
+		case Arrived:
+			all[e.Copy] = &attempt{arrived: e.At}
+			order = append(order, e.Copy)
+		case Ended, Closed:
+			if a != nil && !a.over {
+				a.over, a.ended = true, e.At
+			}
+			if a != nil && e.Outcome == "turned" {
+				a.turned = true
+			}
+		case Answered:
+			if (e.Status == 503 || e.Status == 429) && !j.safe(e.Class) {
+				for _, a := range all {
+					if !a.turned {
+						j.breach(RuleRepeat, e.At, o.id, "refused though it may have run:", o.entries)
+						break
+					}
+				}
+			}
+		}
+	}
+	class := o.entries[0].Class
+	for n, copy := range order {
+		for _, before := range order[:n] {
+			a, b := all[before], all[copy]
+			if !a.turned && !j.safe(class) {
+				j.breach(RuleRepeat, b.arrived, o.id, "sent again though it may have run:", o.entries)
+			}
+			if !a.over || a.ended > b.arrived+j.rules.Slack {
+				j.breach(RuleCopies, b.arrived, o.id, "two attempts out at once:", o.entries)
+			}
+		}
+	}
+}
+
+// drains holds that nothing new goes to an instance after its sidecar was told that it drains or is gone.
+func (j *judge) drains() {
+	for _, e := range j.begun {
+		var last *Entry
+		told := j.news(e.Sidecar, e.Instance)
+		for i := range told {
+			if told[i].At > e.At {
+				break
+			}
+			if last == nil || told[i].Since > last.Since || last.Outcome == "Ready" || told[i].Outcome == "Ready" {
+				last = &told[i]
+			}
+		}
+		if last == nil || last.Outcome == "Ready" {
+			continue
+		}
+		if late := e.At - last.At - j.rules.DrainGrace - j.rules.Slack; late > 0 {
+			j.breach(RuleDrain, e.At, e.ID, fmt.Sprintf("begun at %s %s after the sidecar was told %s:", e.Instance,
+				round(e.At-last.At), last.Outcome), []Entry{*last, e})
+		}
+	}
+}
+
+// news is what a sidecar was told of an instance, or counts as told of: what discovery has published for longer than
+// ToldWithin, counted from the sidecar's start for what is older.
+func (j *judge) news(sidecar, instance string) []Entry {
+	key := [2]string{sidecar, instance}
+	if news, done := j.merged[key]; done {
+		return news
+	}
+	news := slices.Clone(j.told[key])
+	if j.rules.ToldWithin > 0 {
+		for _, e := range j.told[[2]string{"", instance}] {
+			e.At = max(e.At, j.up[sidecar]) + j.rules.ToldWithin
+			news = append(news, e)
+		}
+	}
+	slices.SortStableFunc(news, func(a, b Entry) int { return cmp.Or(int(a.At-b.At), int(a.Since-b.Since)) })
+	j.merged[key] = news
+	return news
+}
+
+// colds holds that no cold instance gets more work within a window than it bears, if two thirds of that came from
+// sidecars that had been told of its start.
+func (j *judge) colds(entries []Entry) {
+	type life struct {
+		Entry
+		at     []Entry
+		broken bool
+	}
+	lives := map[string]*life{}
+	for i := range entries {
+		e := entries[i]
+		switch e.Kind {
+		case Life:
+			lives[e.Instance] = &life{Entry: e}
+		case Arrived:
+			l := lives[e.Instance]
+			if l == nil || l.broken || l.Note != "cold" || e.Tier >= len(j.rules.Cold) {
+				continue
+			}
+			c := j.rules.Cold[e.Tier]
+			if c.Multiple <= 0 || e.At >= l.At+c.Time {
+				continue
+			}
+			l.at = append(l.at, e)
+			for l.at[0].At <= e.At-c.Window {
+				l.at = l.at[1:]
+			}
+			sum, informed := 0.0, 0.0
+			for _, a := range l.at {
+				sum += a.Work
+				if j.knows(a.Sidecar, a.Instance, l.Since, a.At) {
+					informed += a.Work
+				}
+			}
+			capacity := l.Capacity * (c.Share + (1-c.Share)*float64(e.At-l.At)/float64(c.Time))
+			if budget := c.Multiple * capacity * c.Window.Seconds() * (1 + c.Slack); sum > budget && informed >= sum*2/3 {
+				l.broken = true
+				j.breach(RuleCold, e.At, "", fmt.Sprintf("%s, up %s, got %.2f core-seconds within %s, %.2f are its budget",
+					e.Instance, round(e.At-l.At), sum, c.Window, budget), l.at)
+			}
+		}
+	}
+}
+
+func (j *judge) knows(sidecar, instance string, since, at time.Duration) bool {
+	for _, t := range j.told[[2]string{sidecar, instance}] {
+		if t.At <= at && t.Outcome == "Ready" && t.Since >= since {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/lab/load/shapes.go
@@ -0,0 +1,73 @@
+package load
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+)
+
+// ShapeNames are the shapes that have a name, and what they look like.
+var ShapeNames = map[string]string{
+	"flat":             "the rate throughout",
+	"steps":            "quarter, half, three quarters and the whole of the rate, a quarter of the time each",
+	"ramp":             "from a tenth of the rate to the whole, evenly",
+	"due-date-morning": "a bill-due-date morning: quiet, a steep rise, a burst of 1.8 times the rate as reminders go out, a plateau, a slow fall",
+}
+
+// NamedShape is a shape by its name, over a duration, or from a YAML file of corners ({at: 10s, factor: 1.5}).
+func NamedShape(name string, d time.Duration) (Shape, error) {
+	part := func(points ...float64) Shape { // pairs of share of the duration and factor
+		var s Shape
+		for i := 0; i < len(points); i += 2 {
+			s = append(s, Point{At: time.Duration(points[i] * float64(d)), Factor: points[i+1]})
+		}
+		return s
+	}
+	switch name {
+	case "", "flat":
+		return nil, nil
+	case "steps":
+		return part(0, 0.25, 0.25, 0.25, 0.25, 0.5, 0.5, 0.5, 0.5, 0.75, 0.75, 0.75, 0.75, 1, 1, 1), nil
+	case "ramp":
+		return part(0, 0.1, 1, 1), nil
+	case "due-date-morning":
+		return part(0, 0.3, 0.15, 0.4, 0.35, 1, 0.45, 1, 0.47, 1.8, 0.55, 1.8, 0.58, 1.1, 0.8, 1, 1, 0.5), nil
+	}
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return nil, fmt.Errorf("--shape: %q is neither %s nor a file: %w", name, names(), err)
+	}
+	var corners []struct {
+		At     string  `yaml:"at"`
+		Factor float64 `yaml:"factor"`
+	}
+	if err := yaml.UnmarshalWithOptions(text, &corners, yaml.Strict()); err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	var s Shape
+	for i, c := range corners {
+		at, err := time.ParseDuration(c.At)
+		switch {
+		case err != nil:
+			return nil, fmt.Errorf("%s: corner %d: at: a span like 10s is wanted, not %q", name, i+1, c.At)
+		case i > 0 && at < s[i-1].At:
+			return nil, fmt.Errorf("%s: corner %d: at: %s is before the corner above", name, i+1, c.At)
+		case !(c.Factor >= 0) || c.Factor > 1000:
+			return nil, fmt.Errorf("%s: corner %d: factor: %s cannot be", name, i+1, strconv.FormatFloat(c.Factor, 'g', -1, 64))
+		}
+		s = append(s, Point{at, c.Factor})
+	}
+	return s, nil
+}
+
+func names() string {
+	var all []string
+	for n := range ShapeNames {
+		all = append(all, n)
+	}
+	return strings.Join(all, ", ")
+}
--- /dev/null
+++ b/internal/lab/scenario/check.go
@@ -0,0 +1,268 @@
+package scenario
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+)
+
+// wrong is a figure that cannot be, by the key where it stands.
+type wrongFigure struct{ key, text string }
+
+// troubleKeys are the keys that a kind of trouble has beside kind and at. A ! marks one that it needs.
+var troubleKeys = map[string][]string{
+	"vanish":          {"for!", "tier", "part", "count"},
+	"slow":            {"for!", "tier", "part", "count", "size"},
+	"pauses":          {"for!", "tier", "part", "count", "every", "span"},
+	"late-reports":    {"for!", "tier", "part", "count", "span"},
+	"spoilt":          {"for!", "tier", "part", "count", "size!"},
+	"deploy":          {"for!", "tier", "part", "count", "batch", "drain"},
+	"switch-on":       {"tier!", "count!"},
+	"restart-sidecar": {"count"},
+	"kill-sidecar":    {"count"},
+	"move-discovery":  {},
+	"discovery-down":  {"for!"},
+}
+
+// wrong checks the figures.
+func (s *Scenario) wrong() []wrongFigure {
+	var out []wrongFigure
+	bad := func(key, format string, args ...any) {
+		out = append(out, wrongFigure{key, fmt.Sprintf(format, args...)})
+	}
+	above := func(key string, v float64) {
+		if !(v > 0) || math.IsInf(v, 0) {
+			bad(key, "must be above 0, not %g", v)
+		}
+	}
+	part := func(key string, v float64) {
+		if !(v >= 0 && v <= 1) {
+			bad(key, "a share lies between 0 and 1, not %g", v)
+		}
+	}
+	span := func(key string, d Duration) {
+		if d <= 0 {
+			bad(key, "must be above 0, not %s", d.D())
+		}
+	}
+	if s.Name == "" {
+		bad("name", "is missing")
+	}
+	span("duration", s.Duration)
+	if s.Warmup < 0 || s.Warmup >= s.Duration {
+		bad("warmup", "must lie within the duration of %s", s.Duration.D())
+	}
+	if len(s.Classes) == 0 {
+		bad("classes", "at least one is needed")
+	}
+	shares := 0.0
+	for i, c := range s.Classes {
+		at := fmt.Sprintf("classes[%d].", i)
+		if c.Name == "" || strings.ContainsAny(c.Name, "/? \t") {
+			bad(at+"name", "a class has a name without spaces and slashes, not %q", c.Name)
+		}
+		if slices.ContainsFunc(s.Classes[:i], func(o Class) bool { return o.Name == c.Name }) {
+			bad(at+"name", "%q stands twice", c.Name)
+		}
+		above(at+"share", c.Share)
+		above(at+"worth", c.Worth)
+		span(at+"work", c.Work)
+		span(at+"aim", c.Aim)
+		if c.GiveUp < c.Aim {
+			bad(at+"give_up", "%s is before the aim of %s", c.GiveUp.D(), c.Aim.D())
+		}
+		if c.Effect != "safe" && c.Effect != "unsafe" {
+			bad(at+"effect", "safe or unsafe, not %q", c.Effect)
+		}
+		if c.Spread < 0 || c.Noise < 0 {
+			bad(at+"spread", "a spread is not negative")
+		}
+		shares += c.Share
+	}
+	if len(s.Classes) > 0 && math.Abs(shares-1) > 0.011 {
+		bad("classes", "the shares add up to %.2f, not 1", shares)
+	}
+	s.wrongLoad(bad)
+	if s.Clients.Retries < 0 || s.Clients.Retries > 20 {
+		bad("clients.retries", "between 0 and 20, not %d", s.Clients.Retries)
+	}
+	above("clients.try_share", s.Clients.TryShare)
+	part("clients.try_share", s.Clients.TryShare)
+	part("clients.honour", s.Clients.Honour)
+	if s.Clients.Backoff < 0 {
+		bad("clients.backoff", "is negative")
+	}
+	if len(s.Tiers) == 0 {
+		bad("tiers", "at least one is needed")
+	}
+	for i := range s.Tiers {
+		s.Tiers[i].wrong(i, len(s.Tiers), bad, above, part, span)
+	}
+	d := s.Discovery
+	above("discovery.capacity", d.Capacity)
+	span("discovery.period", d.Period)
+	span("discovery.timeout", d.Timeout)
+	span("discovery.beat", d.Beat)
+	above("sidecar.cores", s.Sidecar.Cores)
+	if s.Sidecar.MemoryMB < 16 {
+		bad("sidecar.memory_mb", "at least 16, not %d", s.Sidecar.MemoryMB)
+	}
+	if s.Sidecar.Sockets < 64 {
+		bad("sidecar.sockets", "at least 64, not %d", s.Sidecar.Sockets)
+	}
+	if g := s.Goal; math.Abs(g.Whole+g.WorstWindow+g.WorstClass-1) > 0.001 {
+		bad("goal", "whole, worst_window and worst_class add up to %.2f, not 1", g.Whole+g.WorstWindow+g.WorstClass)
+	}
+	if s.Goal.WorthBy != "work" && s.Goal.WorthBy != "request" {
+		bad("goal.worth_by", "work or request, not %q", s.Goal.WorthBy)
+	}
+	for i := range s.Troubles {
+		s.wrongTrouble(i, bad, part)
+	}
+	return out
+}
+
+func (s *Scenario) wrongLoad(bad func(string, string, ...any)) {
+	l := s.Load
+	switch {
+	case l.Utilisation == 0 && l.Rate == 0:
+		bad("load", "utilisation or rate is needed")
+	case l.Utilisation != 0 && l.Rate != 0:
+		bad("load.rate", "utilisation is given, too: one of them is enough")
+	case l.Utilisation < 0 || l.Utilisation > 5:
+		bad("load.utilisation", "between 0 and 5, not %g", l.Utilisation)
+	case l.Rate < 0 || l.Rate > 5000:
+		bad("load.rate", "between 0 and 5000 requests a second, not %g", l.Rate)
+	}
+	if l.Arrivals != "poisson" && l.Arrivals != "constant" {
+		bad("load.arrivals", "poisson or constant, not %q", l.Arrivals)
+	}
+	for i, p := range l.Shape {
+		if i > 0 && p.At < l.Shape[i-1].At {
+			bad(fmt.Sprintf("load.shape[%d].at", i), "%s comes after %s", p.At.D(), l.Shape[i-1].At.D())
+		}
+		if p.Factor < 0 || p.Factor > 100 {
+			bad(fmt.Sprintf("load.shape[%d].factor", i), "between 0 and 100, not %g", p.Factor)
+		}
+	}
+}
+
+func (t *Tier) wrong(n, of int, bad func(string, string, ...any), above, part func(string, float64), span func(string, Duration)) {
+	at := fmt.Sprintf("tiers[%d].", n)
+	if t.Name == "" || strings.ContainsAny(t.Name, "/ \t") {
+		bad(at+"name", "a tier has a name without spaces and slashes, not %q", t.Name)
+	}
+	if t.Instances < 1 || t.Instances > 200 {
+		bad(at+"instances", "between 1 and 200, not %d", t.Instances)
+	}
+	switch {
+	case n == 0 && (t.Sidecars < 1 || t.Sidecars > 20):
+		bad(at+"sidecars", "between 1 and 20, not %d", t.Sidecars)
+	case n > 0 && t.Sidecars != 0:
+		bad(at+"sidecars", "only the first tier has a number of sidecars: later ones have one for each instance above")
+	}
+	above(at+"work", t.Work)
+	if n > 0 && !(t.Calls >= 1 && t.Calls <= 10) {
+		bad(at+"calls", "between 1 and 10, not %g", t.Calls)
+	}
+	sum := 0.0
+	for i, k := range t.Kinds {
+		at := fmt.Sprintf("%skinds[%d].", at, i)
+		if k.Name == "" {
+			bad(at+"name", "is missing")
+		}
+		sum += k.Share
+		above(at+"share", k.Share)
+		above(at+"speed", k.Speed.Low)
+		if k.Speed.High < k.Speed.Low {
+			bad(at+"speed", "the range ends before it begins")
+		}
+		if k.Cores < 1 || k.Cores > 64 {
+			bad(at+"cores", "between 1 and 64, not %d", k.Cores)
+		}
+	}
+	if math.Abs(sum-1) > 0.011 {
+		bad(at+"kinds", "the shares add up to %.2f, not 1", sum)
+	}
+	if t.Slots < 1 {
+		bad(at+"slots", "at least 1, not %d", t.Slots)
+	}
+	if t.Queue < 0 {
+		bad(at+"queue", "is negative")
+	}
+	part(at+"errors", t.Errors)
+	part(at+"spoilt", t.Spoilt)
+	above(at+"cold.share", t.Cold.Share)
+	part(at+"cold.share", t.Cold.Share)
+	span(at+"cold.time", t.Cold.Time)
+	span(at+"cold.window", t.Cold.Window)
+	above(at+"cold.multiple", t.Cold.Multiple)
+	part(at+"connections.tax", t.Conns.Tax)
+	span(at+"reports.period", t.Reports.Period)
+	for i, f := range t.Reports.Fields {
+		if words[f] == "" {
+			bad(fmt.Sprintf("%sreports.fields[%d]", at, i), "queue, inflight, qps or util, not %q", f)
+		}
+	}
+}
+
+// set tells which keys of a trouble are given.
+func (t *Trouble) set() map[string]bool {
+	return map[string]bool{"for": t.For != 0, "tier": t.Tier != "", "part": t.Part != 0, "count": t.Count != 0, "size": t.Size != 0,
+		"every": t.Every != 0, "span": t.Span != 0, "batch": t.Batch != 0, "drain": t.Drain != 0}
+}
+
+func (s *Scenario) wrongTrouble(i int, bad func(string, string, ...any), part func(string, float64)) {
+	t, at := &s.Troubles[i], fmt.Sprintf("troubles[%d].", i)
+	keys, known := troubleKeys[t.Kind]
+	if !known {
+		bad(at+"kind", "%q is none of %s", t.Kind, strings.Join(TroubleKinds(), ", "))
+		return
+	}
+	for key, given := range t.set() {
+		needed := slices.Contains(keys, key+"!")
+		if given && !needed && !slices.Contains(keys, key) {
+			bad(at+key, "%s has no such key", t.Kind)
+		}
+		if !given && needed {
+			bad(at+key, "%s needs it", t.Kind)
+		}
+	}
+	if t.At < 0 || t.At >= s.Duration {
+		bad(at+"at", "%s is not within the run of %s", t.At.D(), s.Duration.D())
+	}
+	if t.For < 0 {
+		bad(at+"for", "is negative")
+	}
+	if t.Tier != "" && !slices.ContainsFunc(s.Tiers, func(o Tier) bool { return o.Name == t.Tier }) {
+		bad(at+"tier", "there is no tier %q", t.Tier)
+	}
+	part(at+"part", t.Part)
+	part(at+"batch", t.Batch)
+	if t.Count < 0 || t.Count > 200 {
+		bad(at+"count", "between 0 and 200, not %d", t.Count)
+	}
+	if t.Part != 0 && t.Count != 0 {
+		bad(at+"count", "part is given, too: one of them is enough")
+	}
+	if t.Kind == "slow" && t.Size < 1 {
+		bad(at+"size", "how many times slower, at least 1, not %g", t.Size)
+	}
+	if t.Kind == "spoilt" {
+		part(at+"size", t.Size)
+	}
+	if t.Kind == "pauses" && t.Every <= t.Span {
+		bad(at+"every", "%s is no longer than the pause of %s", t.Every.D(), t.Span.D())
+	}
+}
+
+// TroubleKinds are the kinds of troubles, sorted.
+func TroubleKinds() []string {
+	var out []string
+	for k := range troubleKeys {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/lab/scenario/plan.go
@@ -0,0 +1,309 @@
+package scenario
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"kitewood/internal/lab/model"
+)
+
+// Machine is an instance of the plan.
+type Machine struct {
+	Name   string
+	Tier   int
+	Kind   string
+	Number int // of its address: what replaces an instance at its address has its number
+	Config model.Config
+}
+
+// Do is what an event does.
+type Do uint8
+
+// The events of a timeline.
+const (
+	Vanish Do = iota + 1
+	Return
+	Slow
+	Pause
+	LateReports
+	SpoilAnswers
+	Drain
+	Stop
+	Start
+	RestartSidecar
+	KillSidecar
+	MoveDiscovery
+	DiscoveryDown
+	DiscoveryUp
+)
+
+// Event is one entry of a timeline.
+type Event struct {
+	At       time.Duration
+	Do       Do
+	Instance string   // empty for what concerns no instance
+	Machine  *Machine // of Start
+	Sidecar  int      // of the first tier, from 0
+	Factor   float64
+	Span     time.Duration
+}
+
+// Band is a trouble as it lies in time, for charts.
+type Band struct {
+	From, To time.Duration
+	Name     string
+}
+
+// Plan is a scenario laid out for a seed.
+type Plan struct {
+	Machines []Machine // those that are there from the start
+	Events   []Event   // in order of time
+	Bands    []Band
+	Rate     float64 // requests a second at factor 1
+}
+
+// Lay lays a scenario out. The same seed gives the same plan.
+func (s *Scenario) Lay(seed uint64) *Plan {
+	l := &layer{s: s, rng: model.NewRand(seed, 1), plan: &Plan{}, next: make([]int, len(s.Tiers))}
+	for t := range s.Tiers {
+		for _, k := range deal(s.Tiers[t].Kinds, s.Tiers[t].Instances) {
+			l.plan.Machines = append(l.plan.Machines, l.machine(t, k, 0))
+		}
+	}
+	l.plan.Rate = s.Load.Rate
+	if l.plan.Rate == 0 {
+		l.plan.Rate = s.Load.Utilisation * s.capacity(l.plan.Machines)
+	}
+	l.alive = slices.Clone(l.plan.Machines)
+	troubles := slices.Clone(s.Troubles)
+	slices.SortStableFunc(troubles, func(a, b Trouble) int { return int(a.At - b.At) })
+	for i := range troubles {
+		l.trouble(&troubles[i])
+	}
+	slices.SortStableFunc(l.plan.Events, func(a, b Event) int { return int(a.At - b.At) })
+	return l.plan
+}
+
+// capacity is how many requests a second the tier that runs out first can do.
+func (s *Scenario) capacity(machines []Machine) float64 {
+	work := 0.0
+	for _, c := range s.Classes {
+		work += c.Share * c.Work.D().Seconds()
+	}
+	least, calls := math.Inf(1), 1.0
+	for t, tier := range s.Tiers {
+		if t > 0 {
+			calls *= tier.Calls
+		}
+		sum := 0.0
+		for _, m := range machines {
+			if m.Tier == t {
+				sum += float64(m.Config.Cores) * m.Config.Speed
+			}
+		}
+		least = math.Min(least, sum/(work*tier.Work*calls))
+	}
+	return least
+}
+
+// deal gives n machines their kinds by the kinds' shares, the same however often it is done.
+func deal(kinds []Kind, n int) []Kind {
+	out := make([]Kind, 0, n)
+	given := make([]float64, len(kinds))
+	for range n {
+		best := 0
+		for i, k := range kinds {
+			if (given[i]+1)/k.Share < (given[best]+1)/kinds[best].Share {
+				best = i
+			}
+		}
+		given[best]++
+		out = append(out, kinds[best])
+	}
+	return out
+}
+
+type layer struct {
+	s     *Scenario
+	rng   *rand.Rand
+	plan  *Plan
+	next  []int // number of the last machine of each tier
+	named map[string]int
+	alive []Machine
+}
+
+// machine draws a machine; number 0 gives it an address of its own.
+func (l *layer) machine(tier int, k Kind, number int) Machine {
+	t := &l.s.Tiers[tier]
+	if number == 0 {
+		l.next[tier]++
+		number = l.next[tier]
+	}
+	base := fmt.Sprintf("%s-%d", t.Name, number)
+	if l.named == nil {
+		l.named = map[string]int{}
+	}
+	name := base
+	if l.named[base]++; l.named[base] > 1 {
+		name = fmt.Sprintf("%s.%d", base, l.named[base])
+	}
+	return Machine{Name: name, Tier: tier, Kind: k.Name, Number: number, Config: t.config(k, k.Speed.Draw(l.rng))}
+}
+
+func (t *Tier) config(k Kind, speed float64) model.Config {
+	return model.Config{Cores: k.Cores, Speed: speed, Slots: t.Slots, Queue: t.Queue, Thrash: t.Thrash, ThrashAt: t.ThrashAt,
+		Errors: t.Errors, Spoilt: t.Spoilt,
+		Cold: model.Cold{Share: t.Cold.Share, Time: t.Cold.Time.D(), Multiple: t.Cold.Multiple, Window: t.Cold.Window.D()},
+		Choke: model.Choke{Waiting: t.Choke.Waiting, Over: t.Choke.Over.D(), Slower: t.Choke.Slower, Below: t.Choke.Below,
+			Rest: t.Choke.Rest.D(), Most: t.Choke.Most.D()},
+		Conns: model.Conns{Cost: t.Conns.Cost.D(), Delay: t.Conns.Delay.D(), Cap: t.Conns.Cap * k.Cores, Tax: t.Conns.Tax,
+			Idle: t.Conns.Idle.D()},
+		Reports: model.Reports{Period: t.Reports.Period.D(), Delay: t.Reports.Delay.D(), Noise: t.Reports.Noise}}
+}
+
+// victims picks the instances that a trouble meets.
+func (l *layer) victims(t *Trouble) []Machine {
+	var out []Machine
+	for tier := range l.s.Tiers {
+		if t.Tier != "" && l.s.Tiers[tier].Name != t.Tier {
+			continue
+		}
+		var there []Machine
+		for _, m := range l.alive {
+			if m.Tier == tier {
+				there = append(there, m)
+			}
+		}
+		n := len(there)
+		switch {
+		case t.Count > 0:
+			n = min(n, t.Count)
+		case t.Part > 0:
+			n = max(1, int(math.Round(t.Part*float64(n))))
+		}
+		for _, i := range l.rng.Perm(len(there))[:n] {
+			out = append(out, there[i])
+		}
+	}
+	return out
+}
+
+func (l *layer) event(e Event) { l.plan.Events = append(l.plan.Events, e) }
+
+// until is when something that lasts ends: troubles end with the run.
+func (l *layer) until(t *Trouble) time.Duration { return min((t.At + t.For).D(), l.s.Duration.D()) }
+
+func (l *layer) trouble(t *Trouble) {
+	at, end := t.At.D(), l.until(t)
+	name := t.Kind
+	if t.Tier != "" {
+		name += " " + t.Tier
+	}
+	band := Band{From: at, To: max(end, at+300*time.Millisecond), Name: name}
+	defer func() { l.plan.Bands = append(l.plan.Bands, band) }()
+	switch t.Kind {
+	case "vanish":
+		for _, m := range l.victims(t) {
+			l.event(Event{At: at, Do: Vanish, Instance: m.Name})
+			l.event(Event{At: at + t.For.D(), Do: Return, Instance: m.Name})
+		}
+	case "slow", "late-reports", "spoilt":
+		do := map[string]Do{"slow": Slow, "late-reports": LateReports, "spoilt": SpoilAnswers}[t.Kind]
+		heal := map[string]float64{"slow": 1}[t.Kind]
+		for _, m := range l.victims(t) {
+			l.event(Event{At: at, Do: do, Instance: m.Name, Factor: t.Size, Span: t.Span.D()})
+			l.event(Event{At: end, Do: do, Instance: m.Name, Factor: heal})
+		}
+	case "pauses":
+		for _, m := range l.victims(t) {
+			for p := at + time.Duration(l.rng.Float64()*float64(t.Every)); p < end; p += t.Every.D() {
+				l.event(Event{At: p, Do: Pause, Instance: m.Name, Span: t.Span.D()})
+			}
+		}
+	case "deploy":
+		band.To = max(band.To, l.deploy(t))
+	case "switch-on":
+		for tier := range l.s.Tiers {
+			if l.s.Tiers[tier].Name == t.Tier {
+				for _, k := range deal(l.s.Tiers[tier].Kinds, t.Count) {
+					m := l.machine(tier, k, 0)
+					l.alive = append(l.alive, m)
+					l.event(Event{At: at, Do: Start, Instance: m.Name, Machine: &m})
+				}
+			}
+		}
+	case "restart-sidecar", "kill-sidecar":
+		do := RestartSidecar
+		if t.Kind == "kill-sidecar" {
+			do = KillSidecar
+		}
+		for i := range min(max(t.Count, 1), l.s.Tiers[0].Sidecars) {
+			l.event(Event{At: at, Do: do, Sidecar: i})
+		}
+	case "move-discovery":
+		l.event(Event{At: at, Do: MoveDiscovery})
+	case "discovery-down":
+		l.event(Event{At: at, Do: DiscoveryDown})
+		l.event(Event{At: at + t.For.D(), Do: DiscoveryUp})
+	}
+}
+
+// deploy drains, stops and replaces instances in batches; their successors start cold at the same address with a new
+// name, after the tier's restart time.
+func (l *layer) deploy(t *Trouble) time.Duration {
+	byTier := map[int][]Machine{}
+	for _, m := range l.victims(t) {
+		byTier[m.Tier] = append(byTier[m.Tier], m)
+	}
+	last := time.Duration(0)
+	for tier := range l.s.Tiers {
+		victims := byTier[tier]
+		if len(victims) == 0 {
+			continue
+		}
+		size := max(1, int(math.Ceil(t.Batch*float64(l.s.Tiers[tier].Instances))))
+		batches := (len(victims) + size - 1) / size
+		for i, old := range victims {
+			// Every batch is drained, stopped and followed within the deploy's time.
+			at := t.At.D() + time.Duration(i/size)*t.For.D()/time.Duration(batches)
+			stop := at + t.Drain.D()
+			start := stop + l.s.Tiers[tier].Restart.D()
+			k := l.s.Tiers[tier].Kinds[slices.IndexFunc(l.s.Tiers[tier].Kinds, func(k Kind) bool { return k.Name == old.Kind })]
+			m := l.machine(tier, k, old.Number)
+			l.event(Event{At: at, Do: Drain, Instance: old.Name})
+			l.event(Event{At: stop, Do: Stop, Instance: old.Name})
+			l.event(Event{At: start, Do: Start, Instance: m.Name, Machine: &m})
+			l.alive = slices.DeleteFunc(l.alive, func(o Machine) bool { return o.Name == old.Name })
+			l.alive = append(l.alive, m)
+			last = max(last, start)
+		}
+	}
+	return last
+}
+
+var doNames = map[Do]string{Vanish: "vanishes", Return: "comes back", Slow: "is slow", Pause: "pauses", LateReports: "reports late",
+	SpoilAnswers: "spoils answers", Drain: "drains", Stop: "stops", Start: "starts", RestartSidecar: "sidecar restarts",
+	KillSidecar: "sidecar is killed", MoveDiscovery: "discovery moves", DiscoveryDown: "discovery is down", DiscoveryUp: "discovery is up"}
+
+// String tells what happens.
+func (e Event) String() string {
+	out := doNames[e.Do]
+	if e.Instance != "" {
+		out = e.Instance + " " + out
+	}
+	if e.Factor != 0 {
+		out += fmt.Sprintf(" x%g", e.Factor)
+	}
+	if e.Span != 0 {
+		out += " " + e.Span.String()
+	}
+	return out
+}
+
+// Cut drops the troubles that lie after the end, for a run that is shorter than the scenario.
+func (s *Scenario) Cut() {
+	s.Troubles = slices.DeleteFunc(s.Troubles, func(t Trouble) bool { return t.At >= s.Duration })
+}
--- /dev/null
+++ b/internal/lab/scenario/settings.go
@@ -0,0 +1,90 @@
+package scenario
+
+import (
+	"time"
+
+	"kitewood/internal/lab/ledger"
+	"kitewood/internal/lab/model"
+)
+
+// words are the settings' words for the values of a load report, by the protocol's.
+var words = map[string]string{"queue": "q", "inflight": "rif", "qps": "rate", "util": "busy"}
+
+// Slack is what the protocol adds to every time limit.
+const Slack = 50 * time.Millisecond
+
+// Settings is the settings object of a sidecar of a tier, with the keys and units of the platform.
+func (s *Scenario) Settings(tier, me, of int) map[string]any {
+	t := &s.Tiers[tier]
+	var profiles []any
+	for _, c := range s.Classes {
+		profiles = append(profiles, map[string]any{"name": c.Name, "aimS": c.Aim.D().Seconds(), "giveUpS": c.GiveUp.D().Seconds(),
+			"group": "all", "lateShare": 0.0, "points": c.Worth, "repeat": c.Effect, "stream": false, "windowS": 5.0})
+	}
+	var fields, tiers, shapes []string
+	for _, f := range t.Reports.Fields {
+		fields = append(fields, words[f])
+	}
+	for i := range s.Tiers {
+		tiers = append(tiers, s.Tiers[i].Name)
+	}
+	for _, k := range t.Kinds {
+		shapes = append(shapes, k.Name)
+	}
+	via := "inline"
+	if len(fields) == 0 {
+		via = "off"
+	}
+	g := &s.Goal
+	return map[string]any{
+		"clients": map[string]any{"marksRetry": true}, "countedBy": g.WorthBy, "family": "chain",
+		"familyInfo": map[string]any{"passesDeadline": true},
+		"deductions": map[string]any{"crossZone": 0.0, "waste": g.Waste, "lateFail": g.LateFail, "probe": g.Probe, "peer": 0.0,
+			"handshake": g.Connection},
+		"invariants": map[string]any{"askWithinS": 10.0, "coldS": t.Cold.Time.D().Seconds(), "coldShare": t.Cold.Share,
+			"graceToAnswerS": 0.02, "overloadFactor": t.Cold.Multiple, "stopSendingWithinS": 0.5, "tipAfterS": t.Cold.Window.D().Seconds()},
+		"locality": 0, "me": me, "peersTotal": of,
+		"objectiveMix": map[string]any{"whole": g.Whole, "worstClass": g.WorstClass, "worstTenant": 0.0, "worstWindow": g.WorstWindow},
+		"permissions": map[string]any{"cancel": true, "connIdleS": t.Conns.Idle.D().Seconds(), "connectTimeoutS": 0.25,
+			"maxRetryAfterS": 2.0, "mostHeld": 10000, "parallelTries": false, "peers": false, "probes": true, "retryAfter": true,
+			"sendCap": 4, "streamsPerConn": 1},
+		"profiles": profiles, "projects": []any{}, "registryMode": "ask", "resolutionS": 0.005, "shapes": shapes,
+		"telemetry": map[string]any{"fields": fields, "via": via}, "tier": tier, "tiers": tiers, "weights": "off",
+		"zones": []string{s.Zone},
+	}
+}
+
+// Rules are the rules by which the ledger of a run is judged.
+func (s *Scenario) Rules() ledger.Rules {
+	r := ledger.Rules{Slack: Slack, DrainGrace: 500 * time.Millisecond, ToldWithin: 6 * time.Second}
+	for _, c := range s.Classes {
+		r.Safe = append(r.Safe, c.Effect == "safe")
+	}
+	for _, t := range s.Tiers {
+		r.Cold = append(r.Cold, ledger.Cold{Share: t.Cold.Share, Time: t.Cold.Time.D(), Window: t.Cold.Window.D(),
+			Multiple: t.Cold.Multiple, Slack: model.FallSlack})
+	}
+	return r
+}
+
+// Served is how the ledger of a run counts service.
+func (s *Scenario) Served() ledger.Goal {
+	g := &s.Goal
+	out := ledger.Goal{Whole: g.Whole, WorstWindow: g.WorstWindow, WorstClass: g.WorstClass, LateFail: g.LateFail, Waste: g.Waste,
+		Connection: g.Connection, Probes: g.Probe, Window: g.Window.D(), ByWork: g.WorthBy == "work", Warmup: s.Warmup.D()}
+	for _, c := range s.Classes {
+		out.Classes = append(out.Classes, ledger.GoalClass{Name: c.Name, Worth: c.Worth, Aim: c.Aim.D()})
+	}
+	return out
+}
+
+// Model are the classes and habits as the model takes them.
+func (s *Scenario) Model() ([]model.Class, model.Habits) {
+	var classes []model.Class
+	for _, c := range s.Classes {
+		classes = append(classes, model.Class{Name: c.Name, Share: c.Share, Work: c.Work.D(), Spread: c.Spread, Worth: c.Worth,
+			Aim: c.Aim.D(), GiveUp: c.GiveUp.D(), Safe: c.Effect == "safe"})
+	}
+	h := s.Clients
+	return classes, model.Habits{Retries: h.Retries, TryShare: h.TryShare, Backoff: h.Backoff.D(), Honour: h.Honour}
+}
