--- a/cmd/kitewood/main.go
+++ b/cmd/kitewood/main.go
@@ -7,16 +7,13 @@
 	"fmt"
 	"log/slog"
 	"os"
-	"runtime/debug"
 
 	"github.com/urfave/cli/v3"
 
 	"kitewood/internal/program"
+	"kitewood/internal/release"
 )
 
-// version is the release that CHANGELOG.md describes.
-const version = "0.1.0"
-
 func main() {
 	if err := command().Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "kitewood:", err)
@@ -64,15 +61,7 @@
 				Name:  "version",
 				Usage: "print the version",
 				Action: func(_ context.Context, c *cli.Command) error {
-					revision := "unknown"
-					if info, ok := debug.ReadBuildInfo(); ok {
-						for _, s := range info.Settings {
-							if s.Key == "vcs.revision" {
-								revision = s.Value
-							}
-						}
-					}
-					fmt.Fprintf(c.Root().Writer, "kitewood %s, revision %s\n", version, revision)
+					fmt.Fprintf(c.Root().Writer, "kitewood %s, revision %s\n", release.Version, release.Revision())
 					return nil
 				},
 			},
--- a/cmd/kitewood/main_test.go
+++ b/cmd/kitewood/main_test.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"kitewood/internal/release"
 )
 
 // binary is the built sidecar, which the tests start as a deployment does.
@@ -334,7 +336,7 @@
 }
 
 func TestCommandLine(t *testing.T) {
-	for args, want := range map[string]string{"version": "kitewood " + version, "check-config": "kitewood: ROUTER_CONFIG", "serve": "kitewood: ROUTER_CONFIG"} {
+	for args, want := range map[string]string{"version": "kitewood " + release.Version, "check-config": "kitewood: ROUTER_CONFIG", "serve": "kitewood: ROUTER_CONFIG"} {
 		c := exec.Command(binary, args)
 		c.Env = []string{}
 		out, err := c.CombinedOutput()
--- a/internal/lab/emulator/caller.go
+++ b/internal/lab/emulator/caller.go
@@ -66,16 +66,16 @@
 	}
 	text := httpc.Text(method, "/"+class.Name+"?work_us="+us, "backend.local", payload, fields...)
 	// An answer within the slack is no answer to the client any more, but it keeps the rule.
-	r := pool.Do(id, method, text, w.start.Add(q.deadline+scenario.Slack))
+	r := pool.Do(id, method, text, w.book.Start().Add(q.deadline+scenario.Slack))
 	if r.Progress < httpc.Written {
 		e.Kind = ledger.Unasked
 		w.book.Add(e)
 		return model.TryNotReached, 0
 	}
 	asked := e
-	asked.Kind, asked.At = ledger.Asked, r.Written.Sub(w.start)
+	asked.Kind, asked.At = ledger.Asked, r.Written.Sub(w.book.Start())
 	w.book.Add(asked)
-	e.At = r.Ended.Sub(w.start)
+	e.At = r.Ended.Sub(w.book.Start())
 	e.Since = 0
 	switch {
 	case w.frozen(q.by):
--- /dev/null
+++ b/internal/lab/emulator/emulator_test.go
@@ -0,0 +1,163 @@
+package emulator
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"kitewood/internal/lab/ledger"
+	"kitewood/internal/lab/scenario"
+)
+
+// small is a scenario of one tier that a slow machine plays, too.
+const small = `
+name: small
+duration: 3s
+classes:
+  - {name: look, share: 0.5, work: 60ms, aim: 1s, give_up: 2s, effect: safe}
+  - {name: pay, share: 0.5, work: 60ms, aim: 1s, give_up: 2s, effect: unsafe}
+load: {rate: 40}
+clients: {retries: 1}
+tiers:
+  - {name: one, instances: 4, sidecars: 1, work: 1, kinds: [{name: k, share: 1, speed: 2}], cold: {share: 0.16, time: 20s}, restart: 200ms}
+discovery: {notice: 200ms, silent_notice: 400ms, add: 100ms, period: 50ms, spread: 10ms}
+troubles:
+`
+
+func read(t *testing.T, text string) *scenario.Scenario {
+	t.Helper()
+	s, err := scenario.Read("test.yaml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func options(t *testing.T, s *scenario.Scenario) Options {
+	own, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Options{Scenario: s, Seed: 1, Binary: own, Dir: t.TempDir(), Log: slog.New(slog.DiscardHandler)}
+}
+
+// left fails if a process of a run's folder still lives.
+func left(t *testing.T, dir string) {
+	t.Helper()
+	all, err := filepath.Glob("/proc/[0-9]*/environ")
+	if err != nil || len(all) == 0 {
+		t.Fatal("no processes to look at", err)
+	}
+	for _, path := range all {
+		if text, err := os.ReadFile(path); err == nil && strings.Contains(string(text), "ROUTER_CONFIG="+dir) {
+			t.Errorf("process %s of the run is left", path)
+		}
+	}
+}
+
+// Each rule, broken on purpose by a proxy that is wrong in one way, is caught from the ledger, with the story; the same
+// proxy without its fault breaks none.
+func TestLedgerCatchesWrongProxies(t *testing.T) {
+	drain := "  - {kind: deploy, at: 500ms, for: 200ms, count: 1, batch: 0.3, drain: 1500ms}\n"
+	for mode, c := range map[string]struct{ rule, what, troubles string }{
+		"honest":        {"", "", ""},
+		"twice":         {ledger.RuleRepeat, "sent again though it may have run", ""},
+		"refuses":       {ledger.RuleRepeat, "refused though it may have run", ""},
+		"copies":        {ledger.RuleCopies, "two attempts out at once", ""},
+		"never":         {ledger.RuleAnswer, "no final answer", ""},
+		"answers-twice": {ledger.RuleAnswer, "more than one answer", ""},
+		"invents":       {ledger.RuleAnswer, "served with what no instance made", ""},
+		"drained":       {ledger.RuleDrain, "told Terminating", drain},
+		"cold":          {ledger.RuleCold, "core-seconds within", drain},
+		"crash":         {ledger.RuleCrash, "exit status 3", ""},
+	} {
+		t.Run(mode, func(t *testing.T) {
+			t.Parallel()
+			s := read(t, strings.TrimSuffix(small+c.troubles, "troubles:\n"))
+			if mode == "cold" {
+				s.Duration = scenario.Duration(5 * time.Second)
+			}
+			o := options(t, s)
+			o.Env = []string{wrongMode + "=" + mode}
+			r, err := Run(context.Background(), o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			left(t, o.Dir)
+			breaches := ledger.Judge(r.Entries, s.Rules())
+			if c.rule == "" {
+				if len(breaches) > 0 {
+					t.Fatalf("nothing is wrong, and the ledger says: %s", breaches[0])
+				}
+				if v := ledger.Serve(r.Entries, s.Served()); v.Clients < 60 || v.InTime < v.Clients*9/10 {
+					t.Errorf("%d of %d served in time", v.InTime, v.Clients)
+				}
+				return
+			}
+			at := slices.IndexFunc(breaches, func(b ledger.Breach) bool { return b.Rule == c.rule && strings.Contains(b.What, c.what) })
+			if at < 0 {
+				t.Fatalf("%s (%s) is not caught; broken: %v", c.rule, c.what, breaches)
+			}
+			if c.rule != ledger.RuleCrash && len(breaches[at].Story) == 0 {
+				t.Errorf("no story: %s", breaches[at])
+			}
+		})
+	}
+}
+
+// A sidecar that cannot start ends the run with an error that says what it said, and leaves nothing.
+func TestSidecarThatDoesNotStart(t *testing.T) {
+	base := goleak.IgnoreCurrent()
+	o := options(t, read(t, strings.TrimSuffix(small, "troubles:\n")))
+	o.Binary = filepath.Join(t.TempDir(), "broken")
+	if err := os.WriteFile(o.Binary, []byte("#!/bin/sh\necho out of order >&2\nexit 4\n"), 0o755); err != nil {
+		t.Fatal(err)
+	}
+	_, err := Run(context.Background(), o)
+	if err == nil || !strings.Contains(err.Error(), "out of order") {
+		t.Errorf("the error is %v", err)
+	}
+	left(t, o.Dir)
+	goleak.VerifyNone(t, base)
+}
+
+// A run that is cut short in the middle of its troubles keeps what was seen, and leaves no process, goroutine or address.
+func TestInterruptedRunLeavesNothing(t *testing.T) {
+	base := goleak.IgnoreCurrent()
+	kitewood := filepath.Join(t.TempDir(), "kitewood")
+	if out, err := exec.Command("go", "build", "-o", kitewood, "kitewood/cmd/kitewood").CombinedOutput(); err != nil {
+		t.Fatalf("%s", out)
+	}
+	s := read(t, small+"  - {kind: vanish, at: 300ms, for: 10s, count: 1}\n  - {kind: restart-sidecar, at: 500ms}\n"+
+		"  - {kind: move-discovery, at: 700ms}\n  - {kind: deploy, at: 800ms, for: 1s, count: 1, drain: 100ms}\n")
+	s.Duration = scenario.Duration(time.Minute)
+	o := options(t, s)
+	o.Binary = kitewood
+	ctx, cancel := context.WithCancel(context.Background())
+	var addresses []string
+	o.Ready = func(a []string) { addresses = a; time.AfterFunc(2500*time.Millisecond, cancel) }
+	began := time.Now()
+	r, err := Run(ctx, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !r.Cut || len(r.Entries) == 0 || time.Since(began) > 30*time.Second {
+		t.Errorf("cut %v, %d entries, %s", r.Cut, len(r.Entries), time.Since(began))
+	}
+	for _, b := range ledger.Judge(r.Entries, s.Rules()) {
+		t.Errorf("broken: %s", b)
+	}
+	if len(addresses) != 1 {
+		t.Errorf("addresses: %v", addresses)
+	}
+	left(t, o.Dir)
+	goleak.VerifyNone(t, base)
+}
--- a/internal/lab/emulator/registry.go
+++ b/internal/lab/emulator/registry.go
@@ -338,7 +338,7 @@
 		e := endpoint{Name: m.Name, Zone: r.w.s.Zone, Type: m.Kind, Group: m.Group, Status: string(m.Status), Weight: 1,
 			Address: fmt.Sprintf("%s:%d", r.w.block.instance(s.tier, m.Group), instancePort+s.index)}
 		if m.Since > 0 {
-			e.SinceMS = r.w.start.Add(m.Since).UnixMilli()
+			e.SinceMS = r.w.book.Start().Add(m.Since).UnixMilli()
 		}
 		out.Endpoints = append(out.Endpoints, e)
 	}
--- a/internal/lab/emulator/sidecar.go
+++ b/internal/lab/emulator/sidecar.go
@@ -85,7 +85,7 @@
 	}
 	defer log.Close()
 	p := &process{cmd: exec.Command(s.w.binary, "serve"), ended: make(chan struct{})}
-	p.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+s.file("json"))
+	p.cmd.Env = append(append(os.Environ(), s.w.env...), "ROUTER_CONFIG="+s.file("json"))
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := s.w.starter.start(p.cmd); err != nil {
 		return err
--- a/internal/lab/emulator/world.go
+++ b/internal/lab/emulator/world.go
@@ -26,8 +26,9 @@
 type Options struct {
 	Scenario *scenario.Scenario
 	Seed     uint64
-	Binary   string // kitewood
-	Dir      string // for configuration files and logs of sidecars; it is made
+	Binary   string   // kitewood
+	Env      []string // of the sidecars, beside this process's
+	Dir      string   // for configuration files and logs of sidecars; it is made
 	Log      *slog.Logger
 	Progress func(Progress)           // every second; nil for none
 	Ready    func(addresses []string) // once all is up; nil for none
@@ -67,9 +68,9 @@
 	seed     uint64
 	plan     *scenario.Plan
 	binary   string
+	env      []string
 	dir      string
 	log      *slog.Logger
-	start    time.Time
 	book     *ledger.Book
 	block    *block
 	registry *registry
@@ -98,12 +99,12 @@
 func Run(ctx context.Context, o Options) (*Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w := &World{s: o.Scenario, seed: o.Seed, plan: o.Scenario.Lay(o.Seed), binary: o.Binary, dir: o.Dir, log: o.Log,
-		start: time.Now(), tasks: &tasks{}, instances: map[string]*instance{}, indexes: make([]int, len(o.Scenario.Tiers)),
+	w := &World{s: o.Scenario, seed: o.Seed, plan: o.Scenario.Lay(o.Seed), binary: o.Binary, env: o.Env, dir: o.Dir, log: o.Log,
+		tasks: &tasks{}, instances: map[string]*instance{}, indexes: make([]int, len(o.Scenario.Tiers)),
 		cancel: cancel, starter: newStarter()}
 	defer w.starter.close()
 	w.caller = &caller{w: w, prefix: rand.Uint64()}
-	w.book = ledger.NewBook(w.start)
+	w.book = ledger.NewBook()
 	w.front.Notice = w.s.Front.Notice.D()
 	if err := os.MkdirAll(filepath.Join(w.dir, "sidecars"), 0o755); err != nil {
 		return nil, err
@@ -159,7 +160,7 @@
 // rebase makes now the start of the run: starting dozens of processes takes a time that differs from machine to machine.
 // What was entered before stands at its very beginning, and the models begin anew.
 func (w *World) rebase() {
-	w.start = w.book.Rebase()
+	w.book.Rebase()
 	for _, i := range w.instances {
 		i.do(i.renew)
 	}
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -8,6 +8,7 @@
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -64,14 +65,18 @@
 type Book struct {
 	mu      sync.Mutex
 	entries []Entry
-	start   time.Time
+	made    time.Time
+	offset  atomic.Int64 // from made to the start of the run, in nanoseconds
 }
 
-// NewBook starts a book whose times count from start.
-func NewBook(start time.Time) *Book { return &Book{start: start} }
+// NewBook starts a book whose times count from now.
+func NewBook() *Book { return &Book{made: time.Now()} }
+
+// Start is the start of the run.
+func (b *Book) Start() time.Time { return b.made.Add(time.Duration(b.offset.Load())) }
 
 // Now is the time since the start of the run.
-func (b *Book) Now() time.Duration { return time.Since(b.start) }
+func (b *Book) Now() time.Duration { return time.Since(b.Start()) }
 
 // Add writes an entry, at the present time if it has none.
 func (b *Book) Add(e Entry) {
@@ -119,12 +124,11 @@
 }
 
 // Rebase makes now the start of the times. What was entered before stands at the very beginning, in its order.
-func (b *Book) Rebase() time.Time {
+func (b *Book) Rebase() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.start = time.Now()
+	b.offset.Store(int64(time.Since(b.made)))
 	for i := range b.entries {
 		b.entries[i].At = 1
 	}
-	return b.start
 }
--- a/internal/lab/ledger/rules.go
+++ b/internal/lab/ledger/rules.go
@@ -205,12 +205,17 @@
 	return false
 }
 
+// sharp is how far the order of two entries of different connections may be off. An end that the instance made itself is
+// known as well as that; the end of a connection shows when its reader gets to run, within the slack.
+const sharp = 10 * time.Millisecond
+
 // repeats holds that what may have run is neither sent again nor refused unless its class is safe, and that no two
 // attempts are out at once.
 func (j *judge) repeats(o *op) {
 	type attempt struct {
 		arrived, ended time.Duration
 		over, turned   bool
+		seen           time.Duration // how late its end may have been seen
 	}
 	var order []uint64
 	all := map[uint64]*attempt{}
@@ -223,7 +228,10 @@
 			order = append(order, e.Copy)
 		case Ended, Closed:
 			if a != nil && !a.over {
-				a.over, a.ended = true, e.At
+				a.over, a.ended, a.seen = true, e.At, sharp
+				if e.Kind == Closed {
+					a.seen = j.rules.Slack
+				}
 			}
 			if a != nil && e.Outcome == "turned" {
 				a.turned = true
@@ -246,7 +254,7 @@
 			if !a.turned && !j.safe(class) {
 				j.breach(RuleRepeat, b.arrived, o.id, "sent again though it may have run:", o.entries)
 			}
-			if !a.over || a.ended > b.arrived+j.rules.Slack {
+			if !a.over || a.ended > b.arrived+a.seen {
 				j.breach(RuleCopies, b.arrived, o.id, "two attempts out at once:", o.entries)
 			}
 		}
@@ -286,8 +294,11 @@
 	news := slices.Clone(j.told[key])
 	if j.rules.ToldWithin > 0 {
 		for _, e := range j.told[[2]string{"", instance}] {
-			e.At = max(e.At, j.up[sidecar]) + j.rules.ToldWithin
-			news = append(news, e)
+			// A sidecar that was told anything of the instance since has what was published before, too.
+			if !slices.ContainsFunc(j.told[key], func(t Entry) bool { return t.At >= e.At }) {
+				e.At = max(e.At, j.up[sidecar]) + j.rules.ToldWithin
+				news = append(news, e)
+			}
 		}
 	}
 	slices.SortStableFunc(news, func(a, b Entry) int { return cmp.Or(int(a.At-b.At), int(a.Since-b.Since)) })
--- a/internal/lab/load/recorder.go
+++ b/internal/lab/load/recorder.go
@@ -54,6 +54,7 @@
 	Failed   int     `json:"failed"`
 	TimedOut int     `json:"timed_out"`
 	P50      float64 `json:"p50_ms"`
+	P90      float64 `json:"p90_ms"`
 	P99      float64 `json:"p99_ms"`
 	Max      float64 `json:"max_ms"`
 }
@@ -156,7 +157,8 @@
 	out := make([]Second, len(r.seconds))
 	for i, s := range r.seconds {
 		h := r.byTime[i]
-		s.P50, s.P99, s.Max = float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000, float64(h.Max())/1000
+		l := figures(h)
+		s.P50, s.P90, s.P99, s.Max = l.P50, l.P90, l.P99, l.Max
 		out[i] = s
 	}
 	return out
--- a/internal/lab/report/charts.go
+++ b/internal/lab/report/charts.go
@@ -11,6 +11,8 @@
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
 )
 
 // palette is told apart by eyes that do not see red and green, too (Okabe and Ito, 2008).
@@ -50,7 +52,8 @@
 	Name     string
 }
 
-var bandColours = []color.RGBA{{250, 228, 190, 255}, {214, 232, 246, 255}, {232, 220, 240, 255}, {220, 238, 220, 255}, {246, 214, 214, 255}}
+var bandColours = []color.RGBA{{240, 190, 110, 255}, {140, 190, 230, 255}, {190, 150, 210, 255}, {140, 200, 140, 255}, {230, 140, 140, 255},
+	{180, 180, 180, 255}, {205, 175, 140, 255}, {110, 200, 200, 255}, {220, 220, 110, 255}, {235, 160, 200, 255}}
 
 func css(c color.RGBA) template.CSS { return template.CSS(fmt.Sprintf("rgb(%d,%d,%d)", c.R, c.G, c.B)) }
 
@@ -75,18 +78,29 @@
 		p.Y.Max = 1
 	}
 	c := Chart{Title: title, Note: note}
+	// Troubles overlap, so each has a strip of its own above the lines; below it the band is only tinted.
+	high := p.Y.Max
+	lane := high * 0.045
+	p.Y.Max += lane * float64(len(bands))
 	for n, b := range bands {
 		colour := bandColours[n%len(bandColours)]
-		box, err := plotter.NewPolygon(plotter.XYs{{X: b.From, Y: 0}, {X: b.To, Y: 0}, {X: b.To, Y: p.Y.Max}, {X: b.From, Y: p.Y.Max}})
-		if err != nil {
-			return c, err
+		tint := color.NRGBA{150, 150, 150, 22}
+		from := high + lane*float64(n)
+		for _, area := range []struct {
+			low, top float64
+			c        color.Color
+		}{{0, high, tint}, {from + lane*0.15, from + lane, colour}} {
+			box, err := plotter.NewPolygon(plotter.XYs{{X: b.From, Y: area.low}, {X: b.To, Y: area.low}, {X: b.To, Y: area.top}, {X: b.From, Y: area.top}})
+			if err != nil {
+				return c, err
+			}
+			box.Color, box.LineStyle.Width = area.c, 0
+			p.Add(box)
 		}
-		box.Color, box.LineStyle.Width = colour, 0
-		p.Add(box)
 		c.Bands = append(c.Bands, Key{Name: fmt.Sprintf("%s, %.0f to %.0f s", b.Name, b.From, b.To), Colour: css(colour)})
 	}
 	p.Add(plotter.NewGrid())
-	return draw(p, c, lines)
+	return finish(p, c, lines)
 }
 
 // spreadChart draws latency by percentile: the further right, the rarer.
@@ -111,7 +125,7 @@
 	p.X.Tick.Marker = plot.ConstantTicks(ticks)
 	p.Y.Min = 0
 	p.Add(plotter.NewGrid())
-	return draw(p, Chart{Title: title, Note: note}, []line{l})
+	return finish(p, Chart{Title: title, Note: note}, []line{l})
 }
 
 // barChart draws one bar for each name.
@@ -125,7 +139,7 @@
 	p.Add(bars)
 	p.NominalX(names...)
 	p.Y.Min = 0
-	return draw(p, Chart{Title: title, Note: note}, nil)
+	return finish(p, Chart{Title: title, Note: note}, nil)
 }
 
 func newPlot(x, y string) *plot.Plot {
@@ -136,7 +150,7 @@
 	return p
 }
 
-func draw(p *plot.Plot, c Chart, lines []line) (Chart, error) {
+func finish(p *plot.Plot, c Chart, lines []line) (Chart, error) {
 	for n, l := range lines {
 		if len(l.XYs) == 0 {
 			continue
@@ -152,12 +166,11 @@
 			c.Keys = append(c.Keys, Key{Name: l.Name, Colour: css(colour), Dash: border})
 		}
 	}
-	w, err := p.WriterTo(vg.Points(760), vg.Points(270), "svg")
-	if err != nil {
-		return c, err
-	}
+	canvas := vgsvg.New(vg.Points(780), vg.Points(270))
+	// Labels of the last ticks reach beyond the axes.
+	p.Draw(draw.Crop(draw.New(canvas), 0, -vg.Points(26), 0, -vg.Points(6)))
 	var b bytes.Buffer
-	if _, err := w.WriteTo(&b); err != nil {
+	if _, err := canvas.WriteTo(&b); err != nil {
 		return c, err
 	}
 	text := b.Bytes()
--- a/internal/lab/report/page.go
+++ b/internal/lab/report/page.go
@@ -138,17 +138,17 @@
 		outcomes = loadLines(seconds)
 	}
 	err := add(timeChart("Rate and outcomes", "by the second in which a request was meant to go out", "requests a second", outcomes, bands, end))
-	p50, p99, top := line{Name: "median"}, line{Name: "99th percentile"}, line{Name: "longest"}
+	p50, p90, p99 := line{Name: "median"}, line{Name: "90th percentile"}, line{Name: "99th percentile"}
 	for _, s := range seconds {
 		if s.Max > 0 {
 			x := float64(s.Second) + 0.5
 			p50.XYs = append(p50.XYs, plotter.XY{X: x, Y: s.P50})
+			p90.XYs = append(p90.XYs, plotter.XY{X: x, Y: s.P90})
 			p99.XYs = append(p99.XYs, plotter.XY{X: x, Y: s.P99})
-			top.XYs = append(top.XYs, plotter.XY{X: x, Y: s.Max})
 		}
 	}
 	err = errors.Join(err, add(timeChart("Latency over time", "from the intended time, until served or given up", "latency (ms)",
-		[]line{p50, p99, top}, bands, end)))
+		[]line{p50, p90, p99}, bands, end)))
 	h, herr := results.Histogram(dir)
 	if herr == nil {
 		var spread line
@@ -166,7 +166,7 @@
 		err = errors.Join(err, serr)
 		for t := range plan.Tiers {
 			err = errors.Join(err, add(timeChart("Load by instance: "+plan.Tiers[t].Name, "requests that each instance holds, twice a second",
-				"requests held", loadByInstance(samples, t), bands, end)))
+				"requests held", loadByInstance(samples, t, end), bands, end)))
 		}
 		names, values := attempts(entries)
 		err = errors.Join(err, add(barChart("Attempts per operation", "at the instances, for all operations of all sidecars",
@@ -229,11 +229,11 @@
 	return out
 }
 
-func loadByInstance(samples []emulator.Sample, tier int) []line {
+func loadByInstance(samples []emulator.Sample, tier int, end float64) []line {
 	by := map[string]*line{}
 	var names []string
 	for _, s := range samples {
-		if s.Tier != tier {
+		if s.Tier != tier || s.At.Seconds() > end {
 			continue
 		}
 		l := by[s.Instance]
--- a/internal/lab/results/results.go
+++ b/internal/lab/results/results.go
@@ -10,7 +10,6 @@
 	"os"
 	"path/filepath"
 	"runtime"
-	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
@@ -22,6 +21,7 @@
 	"kitewood/internal/lab/ledger"
 	"kitewood/internal/lab/load"
 	"kitewood/internal/lab/scenario"
+	"kitewood/internal/release"
 )
 
 // The files of a folder.
@@ -85,16 +85,8 @@
 
 // Head fills in what every summary has.
 func Head(kind, name string, seed uint64, started time.Time) Summary {
-	s := Summary{Kind: kind, Name: name, Seed: seed, Version: "unknown", Revision: "unknown", Started: started.UTC(),
+	s := Summary{Kind: kind, Name: name, Seed: seed, Version: release.Version, Revision: release.Revision(), Started: started.UTC(),
 		TookS: time.Since(started).Seconds(), Machine: thisMachine()}
-	if info, ok := debug.ReadBuildInfo(); ok {
-		s.Version = info.Main.Version
-		for _, v := range info.Settings {
-			if v.Key == "vcs.revision" {
-				s.Revision = v.Value
-			}
-		}
-	}
 	return s
 }
 
