--- a/internal/lab/httpc/pool.go
+++ b/internal/lab/httpc/pool.go
@@ -134,9 +134,11 @@
 		if answer.StatusCode >= 100 && answer.StatusCode < 200 {
 			continue
 		}
-		r.Status, r.Header = answer.StatusCode, answer.Header
-		r.Body, err = io.ReadAll(io.LimitReader(answer.Body, p.options.MaxBody))
+		body, err := io.ReadAll(io.LimitReader(answer.Body, p.options.MaxBody))
 		answer.Body.Close()
+		if err == nil { // half an answer has no status
+			r.Status, r.Header, r.Body = answer.StatusCode, answer.Header, body
+		}
 		return answer, err
 	}
 }
--- a/internal/lab/load/arrivals.go
+++ b/internal/lab/load/arrivals.go
@@ -25,7 +25,7 @@
 	if len(s) == 0 {
 		return 1
 	}
-	if t <= s[0].At {
+	if t < s[0].At {
 		return s[0].Factor
 	}
 	for i := 1; i < len(s); i++ {
@@ -76,11 +76,14 @@
 			if from <= 0 {
 				return a.end, false
 			}
-			return t + seconds(due/from), true
+			if x := due / from; x < (a.end - t).Seconds() { // a rate next to nothing would overflow the clock
+				return t + seconds(x), true
+			}
+			return a.end, false
 		}
 		span := (next - t).Seconds()
 		to := a.rate * a.before(next)
-		if area := (from + to) / 2 * span; area < due {
+		if area := (from + to) / 2 * span; area < due || area == 0 {
 			due -= area
 			t = next
 			if t >= a.end {
@@ -96,7 +99,7 @@
 		} else {
 			x = (math.Sqrt(math.Max(0, from*from+2*slope*due)) - from) / slope
 		}
-		return t + seconds(x), true
+		return t + seconds(math.Min(x, span)), true
 	}
 }
 
@@ -112,12 +115,9 @@
 
 // before is the factor as a corner is reached; two corners at one time make a step.
 func (a *Arrivals) before(t time.Duration) float64 {
-	for i, p := range a.shape {
+	for _, p := range a.shape {
 		if p.At == t {
-			if i == 0 {
-				return p.Factor
-			}
-			return a.shape[i].Factor
+			return p.Factor
 		}
 	}
 	return a.shape.At(t)
--- a/internal/lab/model/instance.go
+++ b/internal/lab/model/instance.go
@@ -159,7 +159,7 @@
 }
 
 // coldStep bounds how long the capacity of a cold instance is taken for constant.
-const coldStep = 50 * time.Millisecond
+const coldStep = 20 * time.Millisecond
 
 // NewInstance starts an instance at a time, cold or as one that has long been up.
 func NewInstance(config Config, rng *rand.Rand, start time.Duration, cold bool) *Instance {
--- a/internal/lab/scenario/types.go
+++ b/internal/lab/scenario/types.go
@@ -18,7 +18,7 @@
 	Discovery Discovery `yaml:"discovery"`
 	Sidecar   Sidecar   `yaml:"sidecar"`
 	Goal      Goal      `yaml:"goal"`
-	Troubles  []Trouble `yaml:"troubles"`
+	Troubles  []Trouble `yaml:"troubles,omitempty"`
 }
 
 // Class is a kind of request.
@@ -39,7 +39,7 @@
 	Utilisation float64 `yaml:"utilisation"`
 	Rate        float64 `yaml:"rate"`
 	Arrivals    string  `yaml:"arrivals"`
-	Shape       []Point `yaml:"shape"`
+	Shape       []Point `yaml:"shape,omitempty"`
 }
 
 // Point is a corner of a piecewise linear curve.
