--- a/internal/lab/emulator/sidecar.go
+++ b/internal/lab/emulator/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -52,6 +53,9 @@
 	killMargin  = 700 * time.Millisecond // after the longest deadline, as the protocol has it
 )
 
+// errInterrupted says that a run was ended before it had begun, or while a sidecar was starting.
+var errInterrupted = errors.New("interrupted while sidecars were starting")
+
 // configure writes the configuration file as the platform would.
 func (s *sidecar) configure() error {
 	limits := s.w.s.Sidecar
@@ -110,6 +114,8 @@
 		select {
 		case <-p.ended:
 			return fmt.Errorf("sidecar %s ended before it was ready: %s", s.name, s.lastLine())
+		case <-s.w.over:
+			return errInterrupted
 		default:
 		}
 	}
--- a/internal/lab/emulator/timeline.go
+++ b/internal/lab/emulator/timeline.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -78,7 +79,7 @@
 	if below := m.Tier + 1; below < len(w.s.Tiers) {
 		beside = w.newSidecar(w.s.Tiers[below].Name+"@"+m.Name, below, m.Number, w.s.Tiers[m.Tier].Instances)
 		if err := w.enroll(beside); err != nil {
-			w.fail(err)
+			w.failStart(err)
 			return
 		}
 	}
@@ -100,7 +101,7 @@
 	if s := i.beside; s != nil {
 		s.kill()
 		if err := s.start(); err != nil {
-			w.fail(err)
+			w.failStart(err)
 			return
 		}
 	}
@@ -131,7 +132,7 @@
 
 func (w *World) again(s *sidecar) {
 	if err := s.start(); err != nil {
-		w.fail(err)
+		w.failStart(err)
 		return
 	}
 	w.frontMu.Lock()
@@ -139,6 +140,13 @@
 	w.front.Admit(s.name)
 }
 
+// failStart ends the run because a sidecar could not be started, unless the run is ending anyway.
+func (w *World) failStart(err error) {
+	if !errors.Is(err, errInterrupted) {
+		w.fail(err)
+	}
+}
+
 // reload gives every sidecar its configuration anew, and says so by SIGHUP.
 func (w *World) reload() {
 	w.mu.Lock()
--- a/internal/lab/emulator/world.go
+++ b/internal/lab/emulator/world.go
@@ -91,6 +91,7 @@
 	samples   []Sample
 	failed    error
 	cancel    context.CancelFunc
+	over      <-chan struct{} // the run is to end
 
 	intended, inTime, errors atomic.Int64
 }
@@ -101,7 +102,7 @@
 	defer cancel()
 	w := &World{s: o.Scenario, seed: o.Seed, plan: o.Scenario.Lay(o.Seed), binary: o.Binary, env: o.Env, dir: o.Dir, log: o.Log,
 		tasks: &tasks{}, instances: map[string]*instance{}, indexes: make([]int, len(o.Scenario.Tiers)),
-		cancel: cancel, starter: newStarter()}
+		cancel: cancel, over: ctx.Done(), starter: newStarter()}
 	defer w.starter.close()
 	w.caller = &caller{w: w, prefix: rand.Uint64()}
 	w.book = ledger.NewBook()
