Wait for all sidecars that are starting before a failed run is taken down

Cause: the first sidecar that failed ended the start while others of its tier were being started; they would have met a starter that was closed.

Change: the start of a tier is awaited whole.

--- a/internal/lab/emulator/emulator_test.go
+++ b/internal/lab/emulator/emulator_test.go
@@ -124,9 +124,11 @@
 // A sidecar that cannot start ends the run with an error that says what it said, and leaves nothing.
 func TestSidecarThatDoesNotStart(t *testing.T) {
 	base := goleak.IgnoreCurrent()
-	o := options(t, read(t, strings.TrimSuffix(small, "troubles:\n")))
+	text := strings.Replace(small, "discovery:", "  - {name: two, instances: 2, work: 1}\ndiscovery:", 1)
+	o := options(t, read(t, strings.TrimSuffix(text, "troubles:\n")))
 	o.Binary = filepath.Join(t.TempDir(), "broken")
-	if err := os.WriteFile(o.Binary, []byte("#!/bin/sh\necho out of order >&2\nexit 4\n"), 0o755); err != nil {
+	// Not all at once: what fails first must not leave the rest behind.
+	if err := os.WriteFile(o.Binary, []byte("#!/bin/sh\nsleep 0.$(($$ % 5))\necho out of order >&2\nexit 4\n"), 0o755); err != nil {
 		t.Fatal(err)
 	}
 	_, err := Run(context.Background(), o)
--- a/internal/lab/emulator/world.go
+++ b/internal/lab/emulator/world.go
@@ -195,11 +195,15 @@
 				errs <- w.enroll(beside)
 			}()
 		}
-		for range byTier[t] {
-			if err := <-errs; err != nil {
-				return err
+		var all error
+		for range byTier[t] { // all of them: none may still be starting when the run is taken down
+			if err := <-errs; all == nil {
+				all = err
 			}
 		}
+		if all != nil {
+			return all
+		}
 	}
 	for n := range w.s.Tiers[0].Sidecars {
 		s := w.newSidecar(fmt.Sprintf("front-%d", n), 0, n, w.s.Tiers[0].Sidecars)
