Say once in the emulator what was written twice, and read an instance's start on its owner

Cause: a reading of the whole change. A listener was closed in two places, discovery's addresses were opened in two, the run's parts were gathered under the lock in four; the front layer's notice was a field that each caller set before its call; broken rules were counted anew for each; an instance's start was read beside its owner, which may write it; two fields and two arguments were not used.

Change: one piece for each; behaviour is as it was.

--- a/internal/lab/emulator/instance.go
+++ b/internal/lab/emulator/instance.go
@@ -45,6 +45,17 @@
 	block   *blockade
 }
 
+// close ends the listener, and what keeps connections from coming up.
+func (d *door) close() {
+	if d.block != nil {
+		d.block.lift()
+		d.block = nil
+	}
+	if d.ln != nil {
+		d.ln.Close()
+	}
+}
+
 // attempt is a request that the instance has.
 type attempt struct {
 	request  model.Request
@@ -53,7 +64,6 @@
 	class    int
 	work     float64 // of the whole client's request
 	sidecar  string
-	calls    int
 	tierWork float64
 }
 
@@ -115,7 +125,7 @@
 	if i.model.Fallen() {
 		i.w.book.Add(ledger.Entry{Kind: ledger.Fell, Tier: i.machine.Tier, Instance: i.machine.Name})
 		i.down()
-		i.w.registry.change(i.machine, model.Gone, i.since, i.w.s.Discovery.SilentNotice.D())
+		i.w.registry.seen(i.machine, model.Gone, i.since, i.w.s.Discovery.SilentNotice.D())
 		return -1
 	}
 	next, any := i.model.Next()
@@ -160,7 +170,6 @@
 		i.model.CallEnded(i.w.book.Now(), n, false)
 		return
 	}
-	t.calls++
 	beside, life := i.beside, i.model
 	c := call{tier: i.machine.Tier + 1, class: t.class, work: t.work, deadline: t.request.Deadline, by: i.machine.Name}
 	i.w.tasks.Go(func() {
@@ -322,19 +331,12 @@
 }
 
 // back brings the machine back: all its connections are reset, and the process is new and cold.
-func (i *instance) back(beside *sidecar) {
+func (i *instance) back() {
 	i.reset()
 	i.silent, i.choked = false, false
-	i.beside = beside
 	i.live(i.w.book.Now(), true)
 	for _, d := range i.listeners {
-		if d.block != nil {
-			d.block.lift()
-			d.block = nil
-		}
-		if d.ln != nil {
-			d.ln.Close()
-		}
+		d.close()
 		i.open(d)
 	}
 }
@@ -357,13 +359,7 @@
 func (i *instance) down() {
 	i.stopped = true
 	for _, d := range i.listeners {
-		if d.block != nil {
-			d.block.lift()
-			d.block = nil
-		}
-		if d.ln != nil {
-			d.ln.Close()
-		}
+		d.close()
 	}
 	i.reset()
 }
--- a/internal/lab/emulator/registry.go
+++ b/internal/lab/emulator/registry.go
@@ -40,8 +40,7 @@
 }
 
 func newRegistry(w *World) *registry {
-	r := &registry{w: w, rng: model.NewRand(w.seed, 2), watches: map[*watch]bool{}, known: map[string]map[string]model.Member{},
-		doors: map[string]net.Listener{}}
+	r := &registry{w: w, rng: model.NewRand(w.seed, 2), watches: map[*watch]bool{}, known: map[string]map[string]model.Member{}}
 	r.renew()
 	r.serve()
 	r.owner = newOwner(r.wake)
@@ -94,7 +93,14 @@
 }
 
 // change tells discovery of an instance; it sees it after about so long.
-func (r *registry) change(m scenario.Machine, status model.Status, since, after time.Duration) {
+func (r *registry) change(i *instance, status model.Status, after time.Duration) {
+	var since time.Duration
+	i.do(func() { since = i.since })
+	r.seen(i.machine, status, since, after)
+}
+
+// seen is change for whoever is the instance's owner already.
+func (r *registry) seen(m scenario.Machine, status model.Status, since, after time.Duration) {
 	r.post(func() {
 		r.lists[m.Tier].Change(r.w.book.Now()+model.Around(r.rng, after), model.Member{Name: m.Name, Kind: m.Kind,
 			Group: m.Number, Status: status, Since: since})
@@ -113,10 +119,15 @@
 	return err
 }
 
-// serve makes the server of the present place.
+// serve makes the server of the present place, for all that have an address there.
 func (r *registry) serve() {
 	r.server = &http.Server{Handler: http.HandlerFunc(r.answer)}
 	r.doors = map[string]net.Listener{}
+	for _, s := range r.asking {
+		if err := r.listen(s); err != nil {
+			r.w.fail(err)
+		}
+	}
 }
 
 func (r *registry) listen(s *sidecar) error {
@@ -149,11 +160,6 @@
 		}
 		r.place++
 		r.serve()
-		for _, s := range r.asking {
-			if err := r.listen(s); err != nil {
-				r.w.fail(err)
-			}
-		}
 		time.AfterFunc(1500*time.Millisecond, func() { old.Close() })
 	})
 }
@@ -171,11 +177,6 @@
 	r.do(func() {
 		r.off = false
 		r.serve()
-		for _, s := range r.asking {
-			if err := r.listen(s); err != nil {
-				r.w.fail(err)
-			}
-		}
 	})
 }
 
--- a/internal/lab/emulator/timeline.go
+++ b/internal/lab/emulator/timeline.go
@@ -29,7 +29,7 @@
 		case scenario.Start:
 			open.Go(func() { w.startMachine(*e.Machine) })
 		case scenario.RestartSidecar:
-			open.Go(func() { w.restart(ctx, w.first[e.Sidecar]) })
+			open.Go(func() { w.restart(w.first[e.Sidecar]) })
 		case scenario.KillSidecar:
 			open.Go(func() { w.killSidecar(w.first[e.Sidecar]) })
 		case scenario.MoveDiscovery:
@@ -50,7 +50,7 @@
 	switch e.Do {
 	case scenario.Vanish:
 		i.do(i.vanish)
-		w.registry.change(i.machine, model.Gone, i.since, d.SilentNotice.D())
+		w.registry.change(i, model.Gone, d.SilentNotice.D())
 	case scenario.Return:
 		open.Go(func() { w.bringBack(i) })
 	case scenario.Slow:
@@ -63,10 +63,10 @@
 		i.do(func() { i.model.Spoil(now, e.Factor) })
 	case scenario.Drain:
 		i.do(func() { i.model.Drain(now) })
-		w.registry.change(i.machine, model.Terminating, i.since, d.Notice.D()/2)
+		w.registry.change(i, model.Terminating, d.Notice.D()/2)
 	case scenario.Stop:
 		i.do(i.down)
-		w.registry.change(i.machine, model.Gone, i.since, d.Notice.D()/2)
+		w.registry.change(i, model.Gone, d.Notice.D()/2)
 		if i.beside != nil {
 			open.Go(i.beside.kill)
 		}
@@ -85,15 +85,13 @@
 	}
 	i := newInstance(w, m, true, beside)
 	w.place(i)
-	w.mu.Lock()
-	sidecars := w.sidecars
-	w.mu.Unlock()
+	_, sidecars := w.here()
 	for _, s := range sidecars {
 		if s.tier == m.Tier {
 			i.do(func() { i.admit(s) })
 		}
 	}
-	w.registry.change(m, model.Ready, i.since, w.s.Discovery.Add.D())
+	w.registry.change(i, model.Ready, w.s.Discovery.Add.D())
 }
 
 // bringBack brings a machine back that had vanished, with processes that are new.
@@ -105,12 +103,12 @@
 			return
 		}
 	}
-	i.do(func() { i.back(i.beside) })
-	w.registry.change(i.machine, model.Ready, i.since, w.s.Discovery.Add.D())
+	i.do(i.back)
+	w.registry.change(i, model.Ready, w.s.Discovery.Add.D())
 }
 
 // restart is a planned restart of a sidecar: the front layer learns of it first.
-func (w *World) restart(ctx context.Context, s *sidecar) {
+func (w *World) restart(s *sidecar) {
 	w.died(s, 300*time.Millisecond)
 	s.term()
 	w.again(s)
@@ -126,8 +124,7 @@
 func (w *World) died(s *sidecar, notice time.Duration) {
 	w.frontMu.Lock()
 	defer w.frontMu.Unlock()
-	w.front.Notice = notice
-	w.front.Died(w.book.Now(), s.name)
+	w.front.Died(w.book.Now()+notice, s.name)
 }
 
 func (w *World) again(s *sidecar) {
@@ -149,9 +146,7 @@
 
 // reload gives every sidecar its configuration anew, and says so by SIGHUP.
 func (w *World) reload() {
-	w.mu.Lock()
-	sidecars := w.sidecars
-	w.mu.Unlock()
+	_, sidecars := w.here()
 	for _, s := range sidecars {
 		s.mu.Lock()
 		runs := s.process != nil && !s.process.expected
--- a/internal/lab/emulator/world.go
+++ b/internal/lab/emulator/world.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -106,7 +107,6 @@
 	defer w.starter.close()
 	w.caller = &caller{w: w, prefix: rand.Uint64()}
 	w.book = ledger.NewBook()
-	w.front.Notice = w.s.Front.Notice.D()
 	if err := os.MkdirAll(filepath.Join(w.dir, "sidecars"), 0o755); err != nil {
 		return nil, err
 	}
@@ -221,17 +221,12 @@
 	if err := w.registry.admit(s); err != nil {
 		return err
 	}
-	w.mu.Lock()
-	var all []*instance
-	for _, i := range w.instances {
+	instances, _ := w.here()
+	for _, i := range instances {
 		if i.machine.Tier == s.tier {
-			all = append(all, i)
+			i.do(func() { i.admit(s) })
 		}
 	}
-	w.mu.Unlock()
-	for _, i := range all {
-		i.do(func() { i.admit(s) })
-	}
 	return s.start()
 }
 
@@ -251,6 +246,13 @@
 	w.mu.Unlock()
 }
 
+// here are the instances and sidecars of the run so far.
+func (w *World) here() ([]*instance, []*sidecar) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Collect(maps.Values(w.instances)), w.sidecars
+}
+
 func (w *World) instance(name string) *instance {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -343,17 +345,11 @@
 			return
 		case <-tick.C:
 		}
-		w.mu.Lock()
-		var all []*instance
-		for _, i := range w.instances {
-			all = append(all, i)
-		}
-		sidecars := w.sidecars
-		w.mu.Unlock()
+		instances, sidecars := w.here()
 		for _, s := range sidecars {
 			s.measure()
 		}
-		for _, i := range all {
+		for _, i := range instances {
 			s := Sample{At: w.book.Now(), Instance: i.machine.Name, Tier: i.machine.Tier}
 			i.do(func() { s.Held, s.Conns = len(i.copies), len(i.conns) })
 			w.mu.Lock()
--- a/internal/lab/ledger/rules.go
+++ b/internal/lab/ledger/rules.go
@@ -82,7 +82,7 @@
 // Judge finds the broken rules. Entries are in order of time.
 func Judge(entries []Entry, rules Rules) []Breach {
 	j := &judge{rules: rules, ops: map[string]*op{}, told: map[[2]string][]Entry{}, merged: map[[2]string][]Entry{},
-		up: map[string]time.Duration{}, downs: map[string][]time.Duration{}}
+		up: map[string]time.Duration{}, broken: map[string]int{}, downs: map[string][]time.Duration{}}
 	for i := range entries {
 		j.take(&entries[i])
 	}
@@ -111,6 +111,7 @@
 	up     map[string]time.Duration // the last start of a sidecar
 	begun  []Entry
 	downs  map[string][]time.Duration
+	broken map[string]int // how often each rule was
 	out    []Breach
 }
 
@@ -142,13 +143,7 @@
 }
 
 func (j *judge) breach(rule string, at time.Duration, id, what string, story []Entry) {
-	n := 0
-	for _, b := range j.out {
-		if b.Rule == rule {
-			n++
-		}
-	}
-	if n >= MaxStories {
+	if j.broken[rule]++; j.broken[rule] > MaxStories {
 		story = nil
 	}
 	j.out = append(j.out, Breach{Rule: rule, At: at, ID: id, What: what, Story: story})
--- a/internal/lab/model/clients.go
+++ b/internal/lab/model/clients.go
@@ -94,7 +94,6 @@
 
 // Front spreads clients over the sidecars of their zone. It learns late that one has died.
 type Front struct {
-	Notice  time.Duration
 	order   []string
 	gone    map[string]time.Duration // noticed from then on
 	counter int
@@ -111,12 +110,12 @@
 	f.order = append(f.order, name)
 }
 
-// Died tells that a sidecar's process has ended.
-func (f *Front) Died(now time.Duration, name string) {
+// Died tells that a sidecar's process has ended, and when the front layer notices.
+func (f *Front) Died(noticed time.Duration, name string) {
 	if f.gone == nil {
 		f.gone = map[string]time.Duration{}
 	}
-	f.gone[name] = now + f.Notice
+	f.gone[name] = noticed
 }
 
 // Pick is the sidecar for the next connection; empty where there is none. The front deals in turn.
--- a/internal/lab/model/model_test.go
+++ b/internal/lab/model/model_test.go
@@ -373,13 +373,13 @@
 }
 
 func TestFront(t *testing.T) {
-	f := Front{Notice: time.Second}
+	f := Front{}
 	if f.Pick(0) != "" {
 		t.Error("picked from nothing")
 	}
 	f.Admit("a")
 	f.Admit("b")
-	f.Died(0, "a")
+	f.Died(time.Second, "a")
 	count := func(at time.Duration) map[string]int {
 		n := map[string]int{}
 		for range 100 {
