--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 .PHONY: build demo test
 
 build:
-	mkdir -p bin && go build -o bin/ ./cmd/...
+	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
 
 demo: build
 	bin/kitewood-lab demo
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -50,7 +50,10 @@
 // try sends r to the next server, parks it while none may take it, or ends it when nothing is left to try.
 func (b *Balancer) try(r *request, now time.Duration) {
 	left := b.left(r, now)
-	if left <= b.set.Tick || len(r.attempts) >= b.set.Limits.MaxAttempts {
+	mean := b.classes[r.Class].mean(&b.set.Classes[r.Class])
+	// A repeat that cannot be done in what is left is work for nobody.
+	late := len(r.attempts) > 0 && left < time.Duration(leastLeft*float64(mean))
+	if left <= b.set.Tick || late || len(r.attempts) >= b.set.Limits.MaxAttempts {
 		b.giveUp(r, now)
 		return
 	}
@@ -64,7 +67,7 @@
 		}
 		return
 	}
-	a := &attempt{server: s, sent: now, due: now + patience*b.classes[r.Class].mean(&b.set.Classes[r.Class])}
+	a := &attempt{server: s, sent: now, due: now + patience*mean}
 	r.attempts = append(r.attempts, a)
 	r.out, b.out = r.out+1, b.out+1
 	s.out = append(s.out, a)
--- /dev/null
+++ b/balance/fleet_test.go
@@ -0,0 +1,117 @@
+package balance
+
+import (
+	"testing"
+	"time"
+)
+
+// learned lets a balancer see enough quick answers that it believes what it knows of latencies.
+func learned(b *Balancer, h *recorder, from RequestID) {
+	for i := range RequestID(2 * matureCount) {
+		now := time.Duration(i) * 20 * ms
+		b.Request(now, Request{ID: from + i, Deadline: now + 3*time.Second})
+		h.outcome(b, now+10*ms, from+i, OK)
+	}
+}
+
+// A dozen balancers whose answers stop must not leave four attempts each at every server.
+func TestManyBalancersHoldTheirPartOfAServer(t *testing.T) {
+	for _, c := range []struct{ balancers, servers, most int }{
+		{balancers: 1, servers: 8, most: 7},
+		{balancers: 12, servers: 8, most: 12},
+		{balancers: 40, servers: 8, most: 40},
+	} {
+		held := map[ServerID]int{}
+		for me := range c.balancers {
+			set := settings()
+			set.Me, set.Balancers = me, c.balancers
+			b, h := start(t, set, fleet(c.servers))
+			learned(b, h, 1)
+			before := len(h.sends)
+			for i := range RequestID(40) {
+				b.Request(time.Second, Request{ID: 1000 + i, Deadline: 4 * time.Second})
+			}
+			for _, s := range h.sends[before:] {
+				held[s.server]++
+			}
+		}
+		if len(held) != c.servers {
+			t.Errorf("%d balancers: %d servers hold attempts, want all %d", c.balancers, len(held), c.servers)
+		}
+		for id, n := range held {
+			if n > c.most {
+				t.Errorf("%d balancers: server %d holds %d attempts, want at most %d", c.balancers, id, n, c.most)
+			}
+		}
+	}
+}
+
+// One attempt that takes longer than usual, though not yet four times as long, is enough to go elsewhere.
+func TestSlowAttemptPassesItsServerOver(t *testing.T) {
+	b, h := start(t, settings(), fleet(4))
+	for i := range RequestID(2 * matureCount) {
+		now := time.Duration(i) * 250 * ms
+		b.Request(now, Request{ID: 1 + i, Deadline: now + 3*time.Second})
+		x := h.sends[len(h.sends)-1]
+		b.Outcome(now+200*ms, Outcome{ID: x.id, Closed: true, Server: x.server, Status: OK, Latency: 200 * ms})
+	}
+	now := 15 * time.Second
+	b.Request(now, Request{ID: 900, Deadline: now + 3*time.Second})
+	slow := h.sends[len(h.sends)-1].server
+	now += 350 * ms
+	for i := range RequestID(12) {
+		b.Request(now, Request{ID: 1000 + i, Deadline: now + 3*time.Second})
+		if x := h.sends[len(h.sends)-1]; x.server == slow {
+			t.Fatalf("request %d went to the server that holds a slow attempt", x.id)
+		}
+		h.outcome(b, now+ms, 1000+i, OK)
+	}
+}
+
+// With less left than half of what its class takes, a repeat is work whose answer nobody waits for.
+func TestNoRepeatWithoutTimeLeft(t *testing.T) {
+	for left, repeats := range map[time.Duration]bool{20 * ms: false, 400 * ms: true} {
+		b, h := start(t, settings(), fleet(4))
+		for i := range RequestID(2 * matureCount) {
+			now := time.Duration(i) * 250 * ms
+			b.Request(now, Request{ID: 1 + i, Deadline: now + 3*time.Second})
+			x := h.sends[len(h.sends)-1]
+			b.Outcome(now+200*ms, Outcome{ID: x.id, Closed: true, Server: x.server, Status: OK, Latency: 200 * ms})
+		}
+		now := 15 * time.Second
+		b.Request(now, Request{ID: 900, Deadline: now + 3*time.Second})
+		before := len(h.sends)
+		h.outcome(b, now+b.set.Classes[0].Aim-left, 900, Error)
+		if again := len(h.sends) > before; again != repeats {
+			t.Errorf("with %v left: sent again %v, want %v", left, again, repeats)
+		}
+		if !repeats && h.final[900] != "refuse" {
+			t.Errorf("with %v left: answer %q, want a refusal at once", left, h.final[900])
+		}
+	}
+}
+
+// Sidecars that lose discovery together ask again spread out, and each so soon that drains are told in time.
+func TestDiscoveryIsAskedAgainSoonAndSpread(t *testing.T) {
+	var waits []time.Duration
+	for seed := range uint64(60) {
+		set := settings()
+		set.Seed, set.Ask = seed, true
+		b, h := start(t, set, fleet(4))
+		for range 5 {
+			before := len(h.timers)
+			b.Members(0, Failed, nil)
+			wait := h.timers[before].delay
+			if wait <= 0 || wait > set.Rules.AskWithin/5 {
+				t.Fatalf("seed %d: asked again after %v", seed, wait)
+			}
+			waits = append(waits, wait)
+		}
+	}
+	first := waits[0]
+	for i := 0; i < len(waits); i += 5 {
+		if i > 0 && waits[i] == first {
+			t.Errorf("two of the sidecars wait the same %v", first)
+		}
+	}
+}
--- a/balance/guard.go
+++ b/balance/guard.go
@@ -11,8 +11,11 @@
 // Where the mechanism alone breaks, the exceptions below act. docs/design.md lists their conditions.
 const (
 	patience     = 4       // an attempt is overdue after this many times the mean latency of its class
+	doubt        = 1.5     // and passes its server over from this many on
 	crowd        = 1.0     // own attempts out at a server, over its weight's share, that pass it over
 	fullAims     = 1.0     // a server with more own attempts out than are done in this many aims is no choice
+	fleetHold    = 7.0     // and so is one with its part of so many, which all that track it share
+	leastLeft    = 0.5     // nothing is repeated with less left than this part of its class's mean latency
 	unfit        = 0.5     // a server whose share of failures exceeds that of all by this is ejected
 	failWeight   = 0.3     // of one outcome in a server's share of failures: two in a row eject, one does not
 	ejectShare   = 3       // at most one in this many tracked servers is ejected
@@ -54,7 +57,7 @@
 		// answers in turn and all balancers lose it together.
 		b.watching = false
 		b.asked = min(b.asked+1, 2)
-		wait := b.set.Rules.AskWithin / 16 << b.asked
+		wait := b.set.Rules.AskWithin / 32 << b.asked
 		b.host.Timer(wait/2+b.spread(wait), timerWatch)
 		return
 	}
@@ -207,7 +210,7 @@
 		return false
 	}
 	for _, a := range s.out {
-		if now > a.due {
+		if patience*float64(now-a.sent) > doubt*float64(a.due-a.sent) {
 			return false
 		}
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -218,9 +218,19 @@
 }
 
 // full tells whether a server holds so many own attempts that one more would be answered too late, and make all the
-// others later still: with few servers left the last one is not to be buried.
+// others later still: with few servers left the last one is not to be buried. Where many balancers share a server each
+// has its part of what it may hold, and one at the least: four from each of a dozen buried it.
 func (b *Balancer) full(s *server) bool {
-	return b.doneAll >= matureCount && float64(len(s.out)) >= max(fullAims*b.meanAim.Seconds()/max(b.meanLat, 1e-3), 4)
+	if b.doneAll < matureCount {
+		return false
+	}
+	alone := max(fullAims*b.meanAim.Seconds()/max(b.meanLat, 1e-3), 4)
+	return float64(len(s.out)) >= max(min(alone, fleetHold/b.sharers()), 1)
+}
+
+// sharers is how many balancers track a server, going by this one.
+func (b *Balancer) sharers() float64 {
+	return max(float64(b.set.Balancers*len(b.tracked))/float64(max(len(b.ring), 1)), 1)
 }
 
 // utilReported tells whether reports hold utilisation.
--- a/internal/routing/interfaces.go
+++ b/internal/routing/interfaces.go
@@ -24,6 +24,7 @@
 
 	next     []*Operation // wait for the attempts of this one, which has ended and has their key
 	id       balance.RequestID
+	came     time.Duration
 	ended    bool // the final answer was given, or nobody waits for it
 	attempts []*Attempt
 	out      int // attempts without an outcome
@@ -52,7 +53,8 @@
 	ID      balance.ServerID
 	Name    string
 	Address string
-	closed  atomic.Bool // discovery says that it drains or is gone
+	closed  atomic.Bool   // discovery says that it drains or is gone
+	since   time.Duration // Unix time of its last start; 0 for long ago
 }
 
 // Closed tells whether the destination takes nothing new. Any goroutine may ask.
@@ -69,8 +71,12 @@
 	sent        time.Duration
 	cancel      context.CancelFunc
 	over        bool
+	opened      atomic.Bool
 }
 
+// Opened notes that a connection was opened for the attempt. Any goroutine may call it.
+func (a *Attempt) Opened() { a.opened.Store(true) }
+
 // Stale guards the moment before the first byte: time may have passed since the decision, in which the destination
 // began to drain, the operation ended or its time ran out.
 func (a *Attempt) Stale() bool {
--- a/internal/routing/operation.go
+++ b/internal/routing/operation.go
@@ -35,7 +35,7 @@
 		}
 	}
 	l.lastID++
-	op.id = l.lastID
+	op.id, op.came = l.lastID, l.Now()
 	l.ops[op.id] = op
 	if op.Key != "" {
 		l.keys[op.Key] = op
@@ -62,6 +62,7 @@
 func (l *Loop) answer(op *Operation, a Answer) {
 	if op != nil && !op.ended {
 		l.end(op)
+		l.traceAnswer(op, a.Verdict)
 		op.Done(a)
 		l.forget(op)
 	}
@@ -132,11 +133,12 @@
 	status := r.Status
 	if r.Err != nil {
 		status = r.Err.Status()
-		l.log.Debug("attempt failed", "operation", op.id, "attempt", a.number, "destination", server, "error", r.Err)
 	}
+	l.traceAttempt(a, server, status, r, now)
 	if status == balance.OK && !op.ended {
 		l.end(op)
 		op.Done(Answer{Verdict: Served, Payload: r.Payload})
+		l.traceAnswer(op, Served)
 	}
 	defer l.answerOnPanic(op)
 	l.balancer.Outcome(now, balance.Outcome{ID: op.id, Closed: op.ended, Attempt: a.number, Server: server,
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -40,6 +40,7 @@
 
 func (l *Loop) applyPool(kind balance.ListKind, index int64, members []Member) {
 	l.pool.index = index
+	l.tracePool(kind, index, members)
 	// Ids are given in the order of names, so that a collision falls out alike at every sidecar.
 	slices.SortStableFunc(members, func(x, y Member) int {
 		if x.Name < y.Name {
@@ -62,6 +63,7 @@
 			}
 			d.Address = m.Address
 		}
+		d.since = m.Since
 		l.closeTo(d, m.State != balance.Ready)
 		servers = append(servers, balance.Server{ID: d.ID, Zone: place(l.names.Zones, m.Zone),
 			Kind: place(l.names.Kinds, m.Kind), Cell: m.Group, State: m.State, Units: m.Weight, ReadyAt: m.Since})
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"flag"
@@ -8,6 +9,7 @@
 	"io"
 	"log/slog"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -256,3 +258,26 @@
 		t.Errorf("%v is not now", at)
 	}
 }
+
+func TestTraceOnlyAtDebugLevel(t *testing.T) {
+	for level, want := range map[slog.Level]int{slog.LevelDebug: 1, slog.LevelInfo: 0} {
+		var text bytes.Buffer
+		l, f := start(t, balance.Limits{MaxAttempts: 4})
+		l.post(func() { l.log = slog.New(slog.NewTextHandler(&text, &slog.HandlerOptions{Level: level})) })
+		sync(l)
+		_, answers := submit(l, time.Second)
+		a := <-f.carried
+		a.Opened()
+		(<-f.done)(Result{Status: balance.OK})
+		<-answers
+		sync(l)
+		for _, line := range []string{"msg=attempt", "msg=answer"} {
+			if n := strings.Count(text.String(), line); n != want {
+				t.Errorf("at %v: %d lines of %q, want %d:\n%s", level, n, line, want, &text)
+			}
+		}
+		if want > 0 && !strings.Contains(text.String(), "status=ok") || strings.Contains(text.String(), "opened=false") {
+			t.Errorf("the trace does not say how the attempt went:\n%s", &text)
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/trace.go
@@ -0,0 +1,57 @@
+package routing
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"kitewood/balance"
+)
+
+// The lines at debug level that let a day be counted across a fleet: one for each attempt, one for each answer, one for
+// each pool config. At the default level none is written, however bad what comes.
+
+var statusNames = map[balance.Status]string{balance.OK: "ok", balance.Error: "error", balance.FullUp: "turned away",
+	balance.Timeout: "timed out", balance.ConnectFailed: "connect failed", balance.Reset: "reset",
+	balance.Cancelled: "called off", balance.Moot: "not sent"}
+
+func (v Verdict) String() string { return [...]string{"served", "busy", "failed", "doubled"}[v] }
+
+func (l *Loop) traces() bool { return l.log.Enabled(context.Background(), slog.LevelDebug) }
+
+// traceAttempt notes how an attempt ended: at which destination, at which age of it, and what it reported.
+func (l *Loop) traceAttempt(a *Attempt, server balance.ServerID, status balance.Status, r Result, now time.Duration) {
+	if !l.traces() {
+		return
+	}
+	name, age := "", time.Duration(0)
+	if a.Destination != nil {
+		name = a.Destination.Name
+		if a.Destination.since > 0 {
+			age = now - a.Destination.since
+		}
+	}
+	l.log.Debug("attempt", "operation", a.Op.id, "class", a.Op.Class, "hint", a.Op.Hint, "attempt", a.number,
+		"destination", name, "server", server, "age", age, "status", statusNames[status], "took", now-a.sent,
+		"opened", a.opened.Load(), "load", r.Load, "error", r.Err)
+}
+
+// traceAnswer notes an operation's final answer.
+func (l *Loop) traceAnswer(op *Operation, v Verdict) {
+	if l.traces() {
+		l.log.Debug("answer", "operation", op.id, "class", op.Class, "hint", op.Hint, "repeat", op.Repeat, "verdict",
+			v.String(), "attempts", len(op.attempts), "took", l.Now()-op.came, "left", op.Deadline-l.Now())
+	}
+}
+
+// tracePool notes a pool config as it was taken.
+func (l *Loop) tracePool(kind balance.ListKind, index int64, members []Member) {
+	if l.traces() {
+		count := map[balance.State]int{}
+		for _, m := range members {
+			count[m.State]++
+		}
+		l.log.Debug("pool config", "index", index, "whole", kind != balance.Delta, "ready", count[balance.Ready],
+			"draining", count[balance.Draining], "gone", count[balance.Gone])
+	}
+}
--- a/internal/transport/destinations.go
+++ b/internal/transport/destinations.go
@@ -50,7 +50,7 @@
 	go func() {
 		t := &task{done: done, deadline: u.Clock.At(a.Deadline)}
 		defer u.caught(t)
-		u.run(a.Context, a.Destination, t, a.Stale, func() net.Buffers {
+		u.run(a.Context, a.Destination, t, a.Opened, a.Stale, func() net.Buffers {
 			m := a.Op.Payload.(*protocol.Message)
 			return net.Buffers{protocol.RequestHead(m, a.Left()), m.Body}
 		})
@@ -62,7 +62,7 @@
 	go func() {
 		t := &task{done: done, deadline: time.Now().Add(probeTimeout), probe: true}
 		defer u.caught(t)
-		u.run(context.Background(), d, t, func() bool { return false }, func() net.Buffers {
+		u.run(context.Background(), d, t, nil, func() bool { return false }, func() net.Buffers {
 			return net.Buffers{protocol.GetText(d.Address, u.ProbePath)}
 		})
 	}()
@@ -84,8 +84,12 @@
 )
 
 // run takes a task through a connection up to the last byte written; the connection's reader ends it.
-func (u *Destinations) run(ctx context.Context, d *routing.Destination, t *task, stale func() bool, text func() net.Buffers) {
-	k, err := u.connect(ctx, d, t)
+func (u *Destinations) run(ctx context.Context, d *routing.Destination, t *task, opened func(), stale func() bool,
+	text func() net.Buffers) {
+	k, fresh, err := u.connect(ctx, d, t)
+	if fresh && opened != nil {
+		opened()
+	}
 	if err != nil {
 		t.fail(err)
 		return
@@ -100,20 +104,20 @@
 	k.write(t, text())
 }
 
-// connect gives a task a connection: the newest idle one that still stands, or a new one.
-func (u *Destinations) connect(ctx context.Context, d *routing.Destination, t *task) (*link, error) {
+// connect gives a task a connection: the newest idle one that still stands, or a fresh one.
+func (u *Destinations) connect(ctx context.Context, d *routing.Destination, t *task) (k *link, fresh bool, err error) {
 	for {
 		k := u.newest(d)
 		if k == nil {
 			break
 		}
 		if k.begin(t) {
-			return k, nil
+			return k, false, nil
 		}
 	}
 	for !u.meter.take() {
 		if !u.evict() {
-			return nil, errNoRoom
+			return nil, false, errNoRoom
 		}
 	}
 	t.progress = routing.Connecting
@@ -125,13 +129,13 @@
 	conn, err := dialer.DialContext(ctx, "tcp", d.Address)
 	if err != nil {
 		u.meter.give()
-		return nil, err
+		return nil, true, err
 	}
-	k := &link{home: u, to: d, conn: conn, machine: protocol.Machine{Answers: true}}
+	k = &link{home: u, to: d, conn: conn, machine: protocol.Machine{Answers: true}}
 	t.progress = routing.Waiting
 	k.begin(t)
 	go k.read()
-	return k, nil
+	return k, true, nil
 }
 
 func (u *Destinations) newest(d *routing.Destination) *link {
--- a/internal/transport/directory.go
+++ b/internal/transport/directory.go
@@ -37,8 +37,8 @@
 
 const (
 	beat    = 2 * time.Second         // discovery sends an empty line this often while nothing changes
-	silence = 9 * beat / 4            // after this long without a line a watch is dead: two beats are missing
-	opening = 3500 * time.Millisecond // a watch that has not begun by then will not: discovery gives a call 3 s
+	silence = beat + 3*time.Second/4  // after this long without a line a watch is dead: a beat is missing
+	opening = 3200 * time.Millisecond // a watch that has not begun by then will not: discovery gives a call 3 s
 	maxList = 4 << 20                 // bytes of one pool config
 
 	settling   = 4 * time.Second        // after a move the Directory itself tries again, for this long,
