Bound all attempts out by what well servers may hold, and believe reports of a jam

Change: a balancer's attempts out are bounded by its part of seven for each tracked server that is well, a cold one counted by its age (room); a server whose fresh report foretells over 0.6 of the aim gets nothing (jammed); an answer's room goes to the youngest that waits (next). full moved to guard.go.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -85,9 +85,13 @@
 		return
 	}
 	r.parked, b.parked = true, append(b.parked, r)
-	most := r.arrived + (r.Deadline-r.arrived)*parkShare/100 - now
-	b.host.Timer(max(min(left-b.set.Tick, most), 0), timerExpire|uint64(r.ID))
-	if len(b.parked) == 1 { // they look for a server again soon: a cold one may take more by then
+	if !r.waited { // once: parked again it has the time that it had
+		r.waited = true
+		most := r.arrived + (r.Deadline-r.arrived)*parkShare/100 - now
+		b.host.Timer(max(min(left-b.set.Tick, most), 0), timerExpire|uint64(r.ID))
+	}
+	if !b.looks { // they look for a server again soon: a cold one may take more by then
+		b.looks = true
 		b.host.Timer(max(b.set.Tick, b.meanAim/16), timerParked)
 	}
 }
@@ -103,6 +107,21 @@
 	}
 }
 
+// next gives the room that an answer leaves to the youngest that waits: if one of two will be late, it is the
+// one that can still be in time.
+func (b *Balancer) next(now time.Duration) {
+	for n := len(b.parked); n > 0; n = len(b.parked) {
+		r := b.parked[n-1]
+		b.parked, r.parked = b.parked[:n-1], false
+		if !r.ended {
+			b.try(r, now)
+		}
+		if r.parked {
+			return
+		}
+	}
+}
+
 // giveUp ends a request that is not sent again. While an attempt is out it waits for that instead.
 func (b *Balancer) giveUp(r *request, now time.Duration) {
 	if r.ended || r.out > 0 && b.left(r, now) > b.set.Tick {
@@ -163,6 +182,7 @@
 	r.out--
 	a.server.arrived(a)
 	b.learn(r, a, o, now)
+	defer b.next(now)
 	free := o.Status == FullUp || o.Status == ConnectFailed || o.Status == Moot // it never ran
 	if o.Status != OK && !free && (r.mayRun == nil || a.sent < r.mayRunAt) {
 		r.mayRun, r.mayRunAt = a.server, a.sent
@@ -228,6 +248,7 @@
 			b.host.Watch()
 		}
 	case timerParked:
+		b.looks = false
 		b.unpark(now)
 	case timerExpire:
 		if r != nil && r.out == 0 {
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -24,7 +24,7 @@
 		held := map[ServerID]int{}
 		for me := range c.balancers {
 			set := settings()
-			set.Me, set.Balancers = me, c.balancers
+			set.Seed, set.Me, set.Balancers = uint64(me), me, c.balancers
 			b, h := start(t, set, fleet(c.servers))
 			learned(b, h, 1)
 			before := len(h.sends)
@@ -115,3 +115,72 @@
 		}
 	}
 }
+
+// Balancers whose answers stop hold, together, no more than what the servers may hold, not one attempt each everywhere.
+func TestRoomIsSharedByAllBalancers(t *testing.T) {
+	const balancers, servers = 14, 16
+	held := 0
+	for me := range balancers {
+		set := settings()
+		set.Seed, set.Me, set.Balancers = uint64(me), me, balancers
+		b, h := start(t, set, fleet(servers))
+		learned(b, h, 1)
+		before := len(h.sends)
+		for i := range RequestID(60) {
+			b.Request(time.Second, Request{ID: 1000 + i, Deadline: 4 * time.Second})
+		}
+		held += len(h.sends) - before
+	}
+	if held < servers*fleetHold*3/4 || held > servers*(fleetHold+1) {
+		t.Errorf("%d attempts out at %d servers, want about %v each", held, servers, fleetHold)
+	}
+}
+
+// A server that reports more than it can answer in time gets nothing until the report is old.
+func TestJammedServerGetsNothing(t *testing.T) {
+	for _, c := range []struct {
+		inflight, qps float32
+		age           time.Duration
+		gets          bool
+	}{
+		{inflight: 12, qps: 2, gets: false},
+		{inflight: 12, qps: 2, age: 700 * ms, gets: true},
+		{inflight: 12, qps: 40, gets: true},
+		{inflight: 3, qps: 1, gets: true},
+	} {
+		set := settings()
+		set.Report.Fields = []Field{Inflight, QPS, Util}
+		b, h := start(t, set, fleet(3))
+		learned(b, h, 1)
+		now := time.Second
+		b.Request(now, Request{ID: 900, Deadline: now + 3*time.Second})
+		x := h.sends[len(h.sends)-1]
+		b.Outcome(now+ms, Outcome{ID: 900, Closed: true, Server: x.server, Status: OK, Latency: ms,
+			Load: []float32{c.inflight, c.qps, 0.5}})
+		gets := false
+		for i := range RequestID(9) {
+			at := now + 2*ms + c.age
+			b.Request(at, Request{ID: 1000 + i, Deadline: at + 3*time.Second})
+			gets = gets || h.sends[len(h.sends)-1].server == x.server
+			h.outcome(b, at+ms, 1000+i, OK)
+		}
+		if gets != c.gets {
+			t.Errorf("%+v: it gets requests %v", c, gets)
+		}
+	}
+}
+
+// The room that an answer leaves goes to the youngest that waits, at once, and to no other.
+func TestAnswersRoomGoesToTheYoungest(t *testing.T) {
+	b, h := start(t, settings(), fleet(2))
+	learned(b, h, 1)
+	for i := range RequestID(40) {
+		at := time.Second + time.Duration(i)*ms/10
+		b.Request(at, Request{ID: 1000 + i, Deadline: at + 3*time.Second})
+	}
+	sent := len(h.sends)
+	h.outcome(b, 1005*ms, 1000, OK)
+	if len(h.sends) != sent+1 || h.sends[sent].id != 1039 {
+		t.Errorf("sends on an answer: %v, want request 1039 alone", h.sends[sent:])
+	}
+}
--- a/balance/guard.go
+++ b/balance/guard.go
@@ -16,6 +16,9 @@
 	fullAims     = 1.0     // a server with more own attempts out than are done in this many aims is no choice
 	fleetHold    = 7.0     // and so is one with its part of so many, which all that track it share
 	leastLeft    = 0.5     // nothing is repeated with less left than this part of its class's mean latency
+	jam          = 0.6     // a server whose report foretells more than this part of the mean aim is no choice,
+	jamLeast     = 4.0     // if it holds more than this many
+	jamOld       = 0.6     // and the report is younger than this part of the mean aim
 	unfit        = 0.5     // a server whose share of failures exceeds that of all by this is ejected
 	failWeight   = 0.3     // of one outcome in a server's share of failures: two in a row eject, one does not
 	ejectShare   = 3       // at most one in this many tracked servers is ejected
@@ -175,9 +178,12 @@
 	if c.Effect == Keyed && c.Group != GroupAll && r.mayRun != nil {
 		return b.pickInGroup(r, c.Group, now)
 	}
+	if b.doneAll >= matureCount && float64(b.out) >= b.room(now) {
+		return nil // it waits: all that is out would take longer still
+	}
 	skipped := 0
 	return b.spin(now, func(s *server) bool {
-		if now < s.coldNext || r.tried(s) && len(b.rotation) > len(r.attempts) || b.full(s) {
+		if now < s.coldNext || r.tried(s) && len(b.rotation) > len(r.attempts) || b.full(s, now) {
 			return false
 		}
 		skipped++
@@ -187,6 +193,37 @@
 	})
 }
 
+// room is how many attempts this balancer may have out: its part of what the servers that are well may hold,
+// less of cold ones. One at each server is harmless alone; from every balancer they slow down under it.
+func (b *Balancer) room(now time.Duration) float64 {
+	sum := 0.0
+	for _, s := range b.tracked {
+		if now >= s.outUntil && !s.trial && !b.jammed(s, now) {
+			sum += b.ramp(s, now)
+		}
+	}
+	return max(sum*fleetHold/b.sharers(), 2)
+}
+
+// full tells whether a server holds so many own attempts that one more would be answered too late, and
+// make all others later still: with few servers left the last one is not to be buried. Where many share a
+// server each has its part of what it may hold, one at the least: four from each of a dozen buried it.
+func (b *Balancer) full(s *server, now time.Duration) bool {
+	if b.doneAll < matureCount {
+		return false
+	}
+	alone := max(fullAims*b.meanAim.Seconds()/max(b.meanLat, 1e-3), 4)
+	return b.jammed(s, now) || float64(len(s.out)) >= max(min(alone, fleetHold/b.sharers()), 1)
+}
+
+// jammed tells whether a server's last report foretells late answers: what it holds, from all balancers, over
+// the rate at which it answers. A quiet balancer's own attempts would tell that only when they time out.
+func (b *Balancer) jammed(s *server, now time.Duration) bool {
+	held := b.said(s, Inflight)
+	return s.reported && now-s.fresh < time.Duration(jamOld*float64(b.meanAim)) && held > jamLeast &&
+		held > jam*b.meanAim.Seconds()*b.said(s, QPS)
+}
+
 func (b *Balancer) pickInGroup(r *request, group Group, now time.Duration) *server {
 	key := 2 * r.mayRun.Cell
 	if group == GroupZone {
--- a/balance/state.go
+++ b/balance/state.go
@@ -19,6 +19,7 @@
 
 	requests map[RequestID]*request
 	parked   []*request // requests that no server could take when they came
+	looks    bool       // a timer has been asked for at which they look again
 	classes  []classStat
 
 	trend
@@ -35,6 +36,7 @@
 	mayRunAt time.Duration // when it was sent
 	ended    bool          // a final answer was given or is known
 	parked   bool
+	waited   bool // it has been parked, and the time after which it is ended was asked for
 	late     bool // an attempt was overdue
 }
 
@@ -217,22 +219,19 @@
 	}
 }
 
-// full tells whether a server holds so many own attempts that one more would be answered too late, and make all the
-// others later still: with few servers left the last one is not to be buried. Where many balancers share a server each
-// has its part of what it may hold, and one at the least: four from each of a dozen buried it.
-func (b *Balancer) full(s *server) bool {
-	if b.doneAll < matureCount {
-		return false
-	}
-	alone := max(fullAims*b.meanAim.Seconds()/max(b.meanLat, 1e-3), 4)
-	return float64(len(s.out)) >= max(min(alone, fleetHold/b.sharers()), 1)
-}
-
 // sharers is how many balancers track a server, going by this one.
 func (b *Balancer) sharers() float64 {
 	return max(float64(b.set.Balancers*len(b.tracked))/float64(max(len(b.ring), 1)), 1)
 }
 
+// said is a value of a server's last report, 0 where reports do not hold it.
+func (b *Balancer) said(s *server, f Field) float64 {
+	if i := slices.Index(b.set.Report.Fields, f); i >= 0 && i < len(s.report) {
+		return float64(s.report[i])
+	}
+	return 0
+}
+
 // utilReported tells whether reports hold utilisation.
 func (b *Balancer) utilReported() bool {
 	return b.set.Report.Via != NoReports && slices.Contains(b.set.Report.Fields, Util)
