--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,6 +27,9 @@
 	r := &request{Request: q, arrived: now}
 	b.arrivals++
 	b.classes[q.Class].add(now, 4*b.meanAim)
+	if !q.Repeat {
+		b.classes[q.Class].tryTime = max(b.classes[q.Class].tryTime, q.Deadline-now)
+	}
 	if wait, refuse := b.shedding(r, now); refuse {
 		b.host.Refuse(q.ID, wait)
 		return
@@ -44,6 +47,12 @@
 	if c.LateWorth == 0 && !c.Stream {
 		until = min(until, r.arrived+c.Aim)
 	}
+	// A repeat's client has waited since its first try: where its time is the rest of its deadline, and not cut
+	// for one try as first tries show, that tells since when, and what comes after that aim is worth nothing.
+	if first := b.classes[r.Class].tryTime; r.Repeat && c.LateWorth == 0 && !c.Stream && first > 0 &&
+		(first >= c.Deadline-tryNoise || r.Deadline-r.arrived < first-tryNoise || r.Deadline-r.arrived > first+tryNoise) {
+		until = min(until, r.Deadline-c.Deadline+c.Aim)
+	}
 	return until - now
 }
 
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -184,3 +184,30 @@
 		t.Errorf("sends on an answer: %v, want request 1039 alone", h.sends[sent:])
 	}
 }
+
+// A repeat whose first try's aim has passed is refused at once; one in time may go out, but no longer than that aim.
+func TestRepeatIsWorthNothingAfterItsFirstTrysAim(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		first      time.Duration // what clients give a first try, of a deadline of 3 s; the aim is 1 s
+		left       time.Duration // what this repeat has
+		out        bool
+		sentWithin time.Duration
+	}{
+		{"whole deadlines, 400 ms ago", 3 * time.Second, 2600 * ms, true, 600 * ms},
+		{"whole deadlines, 1.2 s ago", 3 * time.Second, 1800 * ms, false, 0},
+		{"cut tries, the rest of the deadline", 1300 * ms, 900 * ms, false, 0},
+		{"cut tries, a last one that is not cut", 1300 * ms, 2500 * ms, true, 500 * ms},
+		{"cut tries, of unknown age", 1300 * ms, 1300 * ms, true, time.Second},
+	} {
+		b, h := start(t, settings(), fleet(4))
+		b.Request(0, Request{ID: 1, Deadline: c.first})
+		h.outcome(b, 10*ms, 1, OK)
+		now := 5 * time.Second
+		b.Request(now, Request{ID: 2, Deadline: now + c.left, Repeat: true})
+		out := len(h.sends) == 2
+		if out != c.out || !out && h.final[2] != "refuse" || out && h.sends[1].timeout != c.sentWithin {
+			t.Errorf("%s: sends %v, answer %q; want it out: %v, within %v", c.name, h.sends[1:], h.final[2], c.out, c.sentWithin)
+		}
+	}
+}
--- a/balance/guard.go
+++ b/balance/guard.go
@@ -36,6 +36,8 @@
 	matureCount  = 20 // requests done before pressure is believed
 	slowSmoothed = 1.0 / 16
 	quantileStep = 1.0 / 40
+
+	tryNoise = 50 * time.Millisecond // by which the times that clients give may differ
 )
 
 func (b *Balancer) startGuard(now time.Duration) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -131,7 +131,8 @@
 	lat       float64 // smoothed latency of answers in seconds
 	high      float64 // multiple of the mean latency of all that one answer in five exceeds
 	n         int
-	protected bool // worth more per work than an even share of the goal: shed last
+	tryTime   time.Duration // the longest that a client has given a first try
+	protected bool          // worth more per work than an even share of the goal: shed last
 }
 
 // rate is a decaying count of events a second.
