--- a/balance/balance.go
+++ b/balance/balance.go
@@ -49,8 +49,9 @@
 	}
 	// A repeat's client has waited since its first try: where its time is the rest of its deadline, and not cut
 	// for one try as first tries show, that tells since when, and what comes after that aim is worth nothing.
-	if first := b.classes[r.Class].tryTime; r.Repeat && c.LateWorth == 0 && !c.Stream && first > 0 &&
-		(first >= c.Deadline-tryNoise || r.Deadline-r.arrived < first-tryNoise || r.Deadline-r.arrived > first+tryNoise) {
+	first, given := b.classes[r.Class].tryTime, r.Deadline-r.arrived
+	if r.Repeat && c.LateWorth == 0 && !c.Stream && first > 0 &&
+		(first >= c.Deadline-tryNoise || (given-first).Abs() > tryNoise) {
 		until = min(until, r.Deadline-c.Deadline+c.Aim)
 	}
 	return until - now
