--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -211,3 +211,29 @@
 		}
 	}
 }
+
+// Settings that are odd, and valid, leave a balancer that sends and ends what it takes.
+func TestOddSettingsAreSurvived(t *testing.T) {
+	for name, change := range map[string]func(*Settings){
+		"one balancer":         func(s *Settings) { s.Balancers = 1 },
+		"a million balancers":  func(s *Settings) { s.Me, s.Balancers = 999_999, 1_000_000 },
+		"a zone of its own":    func(s *Settings) { s.Zone = 77 },
+		"absurd prices":        func(s *Settings) { s.Prices = Prices{1e12, 1e12, 1e12, 1e12, 1e12} },
+		"no cold start":        func(s *Settings) { s.Rules.ColdTime, s.Rules.ColdShare, s.Rules.FallMultiple = 0, 0, 0 },
+		"no reports":           func(s *Settings) { s.Report = Report{} },
+		"reports of one value": func(s *Settings) { s.Report.Fields = []Field{Inflight} },
+	} {
+		set := settings()
+		change(&set)
+		b, h := start(t, set, fleet(5))
+		learned(b, h, 1)
+		for i := range RequestID(2 * matureCount) {
+			if h.final[1+i] != "" {
+				t.Errorf("%s: request %d was answered %q without an attempt", name, 1+i, h.final[1+i])
+			}
+		}
+		if len(h.sends) != 2*matureCount {
+			t.Errorf("%s: %d sends for %d requests", name, len(h.sends), 2*matureCount)
+		}
+	}
+}
