Take a repeat's age from what clients give of late, not from one absurd first try

Cause: the time that clients give a first try was the longest ever seen (Request, in balance.go). One client that named more than the deadline, 24 hours say, made every first try look uncut for good: from then on each repeat of a class whose tries are cut was refused as old, though it had come in time. Found in reading the change again; the new case of the test fails on the old code.

Change: the least and the most of the last 512 to 1,024 first tries; only a time outside both is the rest of a deadline. An attempt keeps the time from which its server is passed over, which fit had worked out backwards from when it is due.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,7 +28,7 @@
 	b.arrivals++
 	b.classes[q.Class].add(now, 4*b.meanAim)
 	if !q.Repeat {
-		b.classes[q.Class].tryTime = max(b.classes[q.Class].tryTime, q.Deadline-now)
+		b.classes[q.Class].tries.add(q.Deadline - now)
 	}
 	if wait, refuse := b.shedding(r, now); refuse {
 		b.host.Refuse(q.ID, wait)
@@ -47,11 +47,10 @@
 	if c.LateWorth == 0 && !c.Stream {
 		until = min(until, r.arrived+c.Aim)
 	}
-	// A repeat's client has waited since its first try: where its time is the rest of its deadline, and not cut
-	// for one try as first tries show, that tells since when, and what comes after that aim is worth nothing.
-	first, given := b.classes[r.Class].tryTime, r.Deadline-r.arrived
-	if r.Repeat && c.LateWorth == 0 && !c.Stream && first > 0 &&
-		(first >= c.Deadline-tryNoise || (given-first).Abs() > tryNoise) {
+	// A repeat's client has waited since its first try. Where its time is none that clients give a first try,
+	// it is the rest of the deadline and tells since when: after that first try's aim nothing is worth anything.
+	given := r.Deadline - r.arrived
+	if r.Repeat && c.LateWorth == 0 && !c.Stream && b.classes[r.Class].tries.outside(given, tryNoise) {
 		until = min(until, r.Deadline-c.Deadline+c.Aim)
 	}
 	return until - now
@@ -77,7 +76,7 @@
 		}
 		return
 	}
-	a := &attempt{server: s, sent: now, due: now + patience*mean}
+	a := &attempt{server: s, sent: now, due: now + patience*mean, slow: now + time.Duration(doubt*float64(mean))}
 	r.attempts = append(r.attempts, a)
 	r.out, b.out = r.out+1, b.out+1
 	s.out = append(s.out, a)
@@ -235,7 +234,7 @@
 		return
 	}
 	b.end(r)
-	r.attempts[attempt].due = math.MaxInt64
+	r.attempts[attempt].due, r.attempts[attempt].slow = math.MaxInt64, math.MaxInt64
 }
 
 // GoneClient takes the news that the client has left; nothing is owed to it any more.
--- a/balance/cold_test.go
+++ b/balance/cold_test.go
@@ -15,8 +15,7 @@
 	born := 20 * time.Second
 	sends := map[ServerID][]time.Duration{}
 	for me := range balancers {
-		set := settings()
-		set.Seed, set.Me, set.Balancers = uint64(me), me, balancers
+		set := member(me, balancers)
 		b, h := start(t, set, fleet(servers))
 		var timers []due
 		var id RequestID
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -5,13 +5,23 @@
 	"time"
 )
 
-// learned lets a balancer see enough quick answers that it believes what it knows of latencies.
-func learned(b *Balancer, h *recorder, from RequestID) {
+// learned starts a balancer that has seen enough answers that it believes what it knows of latencies.
+func learned(t *testing.T, set Settings, servers int, latency time.Duration) (*Balancer, *recorder) {
+	b, h := start(t, set, fleet(servers))
 	for i := range RequestID(2 * matureCount) {
-		now := time.Duration(i) * 20 * ms
-		b.Request(now, Request{ID: from + i, Deadline: now + 3*time.Second})
-		h.outcome(b, now+10*ms, from+i, OK)
+		now := time.Duration(i) * 2 * latency
+		b.Request(now, Request{ID: 1 + i, Deadline: now + 3*time.Second})
+		x := h.sends[len(h.sends)-1]
+		b.Outcome(now+latency, Outcome{ID: x.id, Closed: true, Server: x.server, Status: OK, Latency: latency})
 	}
+	return b, h
+}
+
+// member is the settings of one of several balancers.
+func member(me, balancers int) Settings {
+	set := settings()
+	set.Seed, set.Me, set.Balancers = uint64(me), me, balancers
+	return set
 }
 
 // A dozen balancers whose answers stop must not leave four attempts each at every server.
@@ -23,10 +33,7 @@
 	} {
 		held := map[ServerID]int{}
 		for me := range c.balancers {
-			set := settings()
-			set.Seed, set.Me, set.Balancers = uint64(me), me, c.balancers
-			b, h := start(t, set, fleet(c.servers))
-			learned(b, h, 1)
+			b, h := learned(t, member(me, c.balancers), c.servers, 10*ms)
 			before := len(h.sends)
 			for i := range RequestID(40) {
 				b.Request(time.Second, Request{ID: 1000 + i, Deadline: 4 * time.Second})
@@ -48,13 +55,7 @@
 
 // One attempt that takes longer than usual, though not yet four times as long, is enough to go elsewhere.
 func TestSlowAttemptPassesItsServerOver(t *testing.T) {
-	b, h := start(t, settings(), fleet(4))
-	for i := range RequestID(2 * matureCount) {
-		now := time.Duration(i) * 250 * ms
-		b.Request(now, Request{ID: 1 + i, Deadline: now + 3*time.Second})
-		x := h.sends[len(h.sends)-1]
-		b.Outcome(now+200*ms, Outcome{ID: x.id, Closed: true, Server: x.server, Status: OK, Latency: 200 * ms})
-	}
+	b, h := learned(t, settings(), 4, 200*ms)
 	now := 15 * time.Second
 	b.Request(now, Request{ID: 900, Deadline: now + 3*time.Second})
 	slow := h.sends[len(h.sends)-1].server
@@ -71,13 +72,7 @@
 // With less left than half of what its class takes, a repeat is work whose answer nobody waits for.
 func TestNoRepeatWithoutTimeLeft(t *testing.T) {
 	for left, repeats := range map[time.Duration]bool{20 * ms: false, 400 * ms: true} {
-		b, h := start(t, settings(), fleet(4))
-		for i := range RequestID(2 * matureCount) {
-			now := time.Duration(i) * 250 * ms
-			b.Request(now, Request{ID: 1 + i, Deadline: now + 3*time.Second})
-			x := h.sends[len(h.sends)-1]
-			b.Outcome(now+200*ms, Outcome{ID: x.id, Closed: true, Server: x.server, Status: OK, Latency: 200 * ms})
-		}
+		b, h := learned(t, settings(), 4, 200*ms)
 		now := 15 * time.Second
 		b.Request(now, Request{ID: 900, Deadline: now + 3*time.Second})
 		before := len(h.sends)
@@ -121,10 +116,7 @@
 	const balancers, servers = 14, 16
 	held := 0
 	for me := range balancers {
-		set := settings()
-		set.Seed, set.Me, set.Balancers = uint64(me), me, balancers
-		b, h := start(t, set, fleet(servers))
-		learned(b, h, 1)
+		b, h := learned(t, member(me, balancers), servers, 10*ms)
 		before := len(h.sends)
 		for i := range RequestID(60) {
 			b.Request(time.Second, Request{ID: 1000 + i, Deadline: 4 * time.Second})
@@ -150,8 +142,7 @@
 	} {
 		set := settings()
 		set.Report.Fields = []Field{Inflight, QPS, Util}
-		b, h := start(t, set, fleet(3))
-		learned(b, h, 1)
+		b, h := learned(t, set, 3, 10*ms)
 		now := time.Second
 		b.Request(now, Request{ID: 900, Deadline: now + 3*time.Second})
 		x := h.sends[len(h.sends)-1]
@@ -172,8 +163,7 @@
 
 // The room that an answer leaves goes to the youngest that waits, at once, and to no other.
 func TestAnswersRoomGoesToTheYoungest(t *testing.T) {
-	b, h := start(t, settings(), fleet(2))
-	learned(b, h, 1)
+	b, h := learned(t, settings(), 2, 10*ms)
 	for i := range RequestID(40) {
 		at := time.Second + time.Duration(i)*ms/10
 		b.Request(at, Request{ID: 1000 + i, Deadline: at + 3*time.Second})
@@ -199,8 +189,15 @@
 		{"cut tries, the rest of the deadline", 1300 * ms, 900 * ms, false, 0},
 		{"cut tries, a last one that is not cut", 1300 * ms, 2500 * ms, true, 500 * ms},
 		{"cut tries, of unknown age", 1300 * ms, 1300 * ms, true, time.Second},
+		{"an absurd try among cut ones", 0, 1300 * ms, true, time.Second},
 	} {
 		b, h := start(t, settings(), fleet(4))
+		if c.first == 0 {
+			c.first = 1300 * ms
+			b.Request(0, Request{ID: 3, Deadline: 24 * time.Hour})
+			h.outcome(b, 10*ms, 3, OK)
+		}
+		h.sends = nil
 		b.Request(0, Request{ID: 1, Deadline: c.first})
 		h.outcome(b, 10*ms, 1, OK)
 		now := 5 * time.Second
@@ -225,8 +222,7 @@
 	} {
 		set := settings()
 		change(&set)
-		b, h := start(t, set, fleet(5))
-		learned(b, h, 1)
+		_, h := learned(t, set, 5, 10*ms)
 		for i := range RequestID(2 * matureCount) {
 			if h.final[1+i] != "" {
 				t.Errorf("%s: request %d was answered %q without an attempt", name, 1+i, h.final[1+i])
@@ -237,3 +233,18 @@
 		}
 	}
 }
+
+// What one client gave is forgotten after as many others.
+func TestBoundsForget(t *testing.T) {
+	var v bounds
+	if v.outside(5, 0) {
+		t.Error("before any value 5 lies outside")
+	}
+	v.add(24 * time.Hour)
+	for i := range 2*gathered - 1 {
+		v.add(time.Second)
+		if v.outside(2*time.Second, ms) != (i == 2*gathered-2) {
+			t.Fatalf("after %d more: 2 s lies outside %v", i+1, v.outside(2*time.Second, ms))
+		}
+	}
+}
--- a/balance/guard.go
+++ b/balance/guard.go
@@ -249,7 +249,7 @@
 		return false
 	}
 	for _, a := range s.out {
-		if patience*float64(now-a.sent) > doubt*float64(a.due-a.sent) {
+		if now > a.slow {
 			return false
 		}
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -45,6 +45,7 @@
 	server *server
 	sent   time.Duration
 	due    time.Duration // from when on it counts as overdue
+	slow   time.Duration // from when on its server is passed over
 	over   bool
 	judged bool // counted as a failure when it was overdue
 }
@@ -131,8 +132,8 @@
 	lat       float64 // smoothed latency of answers in seconds
 	high      float64 // multiple of the mean latency of all that one answer in five exceeds
 	n         int
-	tryTime   time.Duration // the longest that a client has given a first try
-	protected bool          // worth more per work than an even share of the goal: shed last
+	tries     bounds // what clients gave first tries of late
+	protected bool   // worth more per work than an even share of the goal: shed last
 }
 
 // rate is a decaying count of events a second.
@@ -151,6 +152,31 @@
 
 func (r *rate) add(now, span time.Duration) { r.v = r.get(now, span) + 1/span.Seconds() }
 
+// bounds are the least and the most of the last 512 to 1,024 values: what one client gives that is absurd counts only
+// for a while.
+type bounds struct {
+	least, most [2]time.Duration // of the values now gathered, and of those before
+	n           int
+}
+
+const gathered = 512
+
+func (v *bounds) add(x time.Duration) {
+	switch {
+	case v.n == 0:
+		v.least, v.most = [2]time.Duration{x, x}, [2]time.Duration{x, x}
+	case v.n%gathered == 0:
+		v.least, v.most = [2]time.Duration{x, v.least[0]}, [2]time.Duration{x, v.most[0]}
+	}
+	v.least[0], v.most[0] = min(v.least[0], x), max(v.most[0], x)
+	v.n++
+}
+
+// outside tells whether a value lies clearly outside, which none does before there are any.
+func (v *bounds) outside(x, slack time.Duration) bool {
+	return v.n > 0 && (x < min(v.least[0], v.least[1])-slack || x > max(v.most[0], v.most[1])+slack)
+}
+
 // rotation is a smooth weighted round robin: a server's turns are 1/weight apart and the earliest goes first, so a
 // pick costs the logarithm of the tracked servers and no scan.
 type rotation []*server
