--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -241,9 +241,9 @@
 		t.Error("before any value 5 lies outside")
 	}
 	v.add(24 * time.Hour)
-	for i := range 2*gathered - 1 {
+	for i := range 2 * gathered {
 		v.add(time.Second)
-		if v.outside(2*time.Second, ms) != (i == 2*gathered-2) {
+		if v.outside(2*time.Second, ms) != (i == 2*gathered-1) {
 			t.Fatalf("after %d more: 2 s lies outside %v", i+1, v.outside(2*time.Second, ms))
 		}
 	}
