Say a status where it is declared, note an opened connection on its task

The names of statuses stood in a table of routing's own: they are balance.Status's String now. That an attempt opened a connection went through two signatures and a second result of connect: its task says it. A served answer was given in finish as answer gives all others: one way now. The discovery tests start the sidecar that the front's tests start.

--- a/balance/api.go
+++ b/balance/api.go
@@ -175,6 +175,10 @@
 	Moot                 // not sent; it never ran
 )
 
+func (s Status) String() string {
+	return [...]string{"none", "ok", "error", "turned away", "timed out", "connect failed", "reset", "called off", "not sent"}[s]
+}
+
 // Outcome tells how an attempt ended.
 type Outcome struct {
 	ID      RequestID
--- a/internal/routing/operation.go
+++ b/internal/routing/operation.go
@@ -135,10 +135,8 @@
 		status = r.Err.Status()
 	}
 	l.traceAttempt(a, server, status, r, now)
-	if status == balance.OK && !op.ended {
-		l.end(op)
-		op.Done(Answer{Verdict: Served, Payload: r.Payload})
-		l.traceAnswer(op, Served)
+	if status == balance.OK {
+		l.answer(op, Answer{Verdict: Served, Payload: r.Payload})
 	}
 	defer l.answerOnPanic(op)
 	l.balancer.Outcome(now, balance.Outcome{ID: op.id, Closed: op.ended, Attempt: a.number, Server: server,
--- a/internal/routing/trace.go
+++ b/internal/routing/trace.go
@@ -11,10 +11,6 @@
 // The lines at debug level that let a day be counted across a fleet: one for each attempt, one for each answer, one for
 // each pool config. At the default level none is written, however bad what comes.
 
-var statusNames = map[balance.Status]string{balance.OK: "ok", balance.Error: "error", balance.FullUp: "turned away",
-	balance.Timeout: "timed out", balance.ConnectFailed: "connect failed", balance.Reset: "reset",
-	balance.Cancelled: "called off", balance.Moot: "not sent"}
-
 func (v Verdict) String() string { return [...]string{"served", "busy", "failed", "doubled"}[v] }
 
 func (l *Loop) traces() bool { return l.log.Enabled(context.Background(), slog.LevelDebug) }
@@ -32,7 +28,7 @@
 		}
 	}
 	l.log.Debug("attempt", "operation", a.Op.id, "class", a.Op.Class, "hint", a.Op.Hint, "attempt", a.number,
-		"destination", name, "server", server, "age", age, "status", statusNames[status], "took", now-a.sent,
+		"destination", name, "server", server, "age", age, "status", status.String(), "took", now-a.sent,
 		"opened", a.opened.Load(), "load", r.Load, "error", r.Err)
 }
 
--- a/internal/transport/destinations.go
+++ b/internal/transport/destinations.go
@@ -48,9 +48,9 @@
 // Carry starts an attempt. It implements routing.Carrier.
 func (u *Destinations) Carry(a *routing.Attempt, done func(routing.Result)) {
 	go func() {
-		t := &task{done: done, deadline: u.Clock.At(a.Deadline)}
+		t := &task{done: done, deadline: u.Clock.At(a.Deadline), opened: a.Opened}
 		defer u.caught(t)
-		u.run(a.Context, a.Destination, t, a.Opened, a.Stale, func() net.Buffers {
+		u.run(a.Context, a.Destination, t, a.Stale, func() net.Buffers {
 			m := a.Op.Payload.(*protocol.Message)
 			return net.Buffers{protocol.RequestHead(m, a.Left()), m.Body}
 		})
@@ -60,9 +60,9 @@
 // Probe asks a destination for its health and load. It implements routing.Carrier.
 func (u *Destinations) Probe(d *routing.Destination, done func(routing.Result)) {
 	go func() {
-		t := &task{done: done, deadline: time.Now().Add(probeTimeout), probe: true}
+		t := &task{done: done, deadline: time.Now().Add(probeTimeout), probe: true, opened: func() {}}
 		defer u.caught(t)
-		u.run(context.Background(), d, t, nil, func() bool { return false }, func() net.Buffers {
+		u.run(context.Background(), d, t, func() bool { return false }, func() net.Buffers {
 			return net.Buffers{protocol.GetText(d.Address, u.ProbePath)}
 		})
 	}()
@@ -84,12 +84,8 @@
 )
 
 // run takes a task through a connection up to the last byte written; the connection's reader ends it.
-func (u *Destinations) run(ctx context.Context, d *routing.Destination, t *task, opened func(), stale func() bool,
-	text func() net.Buffers) {
-	k, fresh, err := u.connect(ctx, d, t)
-	if fresh && opened != nil {
-		opened()
-	}
+func (u *Destinations) run(ctx context.Context, d *routing.Destination, t *task, stale func() bool, text func() net.Buffers) {
+	k, err := u.connect(ctx, d, t)
 	if err != nil {
 		t.fail(err)
 		return
@@ -104,23 +100,24 @@
 	k.write(t, text())
 }
 
-// connect gives a task a connection: the newest idle one that still stands, or a fresh one.
-func (u *Destinations) connect(ctx context.Context, d *routing.Destination, t *task) (k *link, fresh bool, err error) {
+// connect gives a task a connection: the newest idle one that still stands, or a new one.
+func (u *Destinations) connect(ctx context.Context, d *routing.Destination, t *task) (*link, error) {
 	for {
 		k := u.newest(d)
 		if k == nil {
 			break
 		}
 		if k.begin(t) {
-			return k, false, nil
+			return k, nil
 		}
 	}
 	for !u.meter.take() {
 		if !u.evict() {
-			return nil, false, errNoRoom
+			return nil, errNoRoom
 		}
 	}
 	t.progress = routing.Connecting
+	t.opened()
 	until := time.Now().Add(u.ConnectTimeout)
 	if t.deadline.Before(until) {
 		until = t.deadline
@@ -129,13 +126,13 @@
 	conn, err := dialer.DialContext(ctx, "tcp", d.Address)
 	if err != nil {
 		u.meter.give()
-		return nil, true, err
+		return nil, err
 	}
-	k = &link{home: u, to: d, conn: conn, machine: protocol.Machine{Answers: true}}
+	k := &link{home: u, to: d, conn: conn, machine: protocol.Machine{Answers: true}}
 	t.progress = routing.Waiting
 	k.begin(t)
 	go k.read()
-	return k, true, nil
+	return k, nil
 }
 
 func (u *Destinations) newest(d *routing.Destination) *link {
--- a/internal/transport/discovery_test.go
+++ b/internal/transport/discovery_test.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -9,10 +8,6 @@
 	"sync/atomic"
 	"testing"
 	"time"
-
-	"kitewood/balance"
-	"kitewood/internal/protocol"
-	"kitewood/internal/routing"
 )
 
 // chunked is the start of a watch with these lines, and no end.
@@ -73,23 +68,8 @@
 			})
 			set := settings()
 			set.Ask, set.Rules.AskWithin = true, 640*time.Millisecond
-			clock := routing.NewClock()
-			loop, err := routing.New(set, routing.Names{}, clock, quiet)
-			if err != nil {
-				t.Fatal(err)
-			}
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			loop.Pool(balance.Cached, 1, []routing.Member{{Name: "s", Address: echoes, State: balance.Ready}})
-			f := NewFront(loop, []protocol.Class{{Name: "look", Method: "GET", Deadline: 2 * time.Second},
-				{Name: "pay", Method: "POST", Deadline: 2 * time.Second}}, Budget{Front: 4, Overflow: 2}, quiet)
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer ln.Close()
-			go f.Serve(ln)
-			go loop.Run(ctx, destinations(clock), NewDirectory(ctx, discovery, loop, quiet))
+			_, ln, run := stopped(t, 4, echoes, set, discovery)
+			run()
 			<-asked
 			time.Sleep(20 * time.Millisecond) // what it said is taken, or the watch ends
 			conn, r := dial(t, ln)
--- a/internal/transport/front_test.go
+++ b/internal/transport/front_test.go
@@ -31,16 +31,16 @@
 // sidecar serves a front socket in front of one destination.
 func sidecar(t *testing.T, most int, destination string) (*Front, net.Listener) {
 	t.Helper()
-	f, ln, run := stopped(t, most, destination)
+	f, ln, run := stopped(t, most, destination, settings(), "")
 	run()
 	return f, ln
 }
 
-// stopped is a sidecar whose loop waits for the word to run.
-func stopped(t *testing.T, most int, destination string) (*Front, net.Listener, func()) {
+// stopped is a sidecar whose loop waits for the word to run and to watch discovery.
+func stopped(t *testing.T, most int, destination string, set balance.Settings, discovery string) (*Front, net.Listener, func()) {
 	t.Helper()
 	clock := routing.NewClock()
-	loop, err := routing.New(settings(), routing.Names{}, clock, quiet)
+	loop, err := routing.New(set, routing.Names{}, clock, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -56,7 +56,7 @@
 	}
 	t.Cleanup(func() { ln.Close() })
 	go f.Serve(ln)
-	return f, ln, func() { go loop.Run(ctx, destinations(clock), NewDirectory(ctx, "", loop, quiet)) }
+	return f, ln, func() { go loop.Run(ctx, destinations(clock), NewDirectory(ctx, discovery, loop, quiet)) }
 }
 
 func dial(t *testing.T, ln net.Listener) (net.Conn, *bufio.Reader) {
@@ -148,7 +148,7 @@
 // An operation whose time is up is answered even if the loop does not come to it; what the loop then says of it must
 // not reach the next operation of the connection.
 func TestLateAnswer(t *testing.T) {
-	_, ln, run := stopped(t, 4, server(t, echo))
+	_, ln, run := stopped(t, 4, server(t, echo), settings(), "")
 	c, r := dial(t, ln)
 	io.WriteString(c, strings.Replace(look, "Host", "X-Time-Left-Ms: 1\r\nHost", 1))
 	if status, _ := answer(t, r); status != "502" {
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -20,6 +20,7 @@
 	deadline time.Time
 	hurried  bool // the deadline is that of an answer which has begun
 	probe    bool
+	opened   func() // called when a connection is opened for it
 
 	mu       sync.Mutex
 	progress routing.Progress
