Count across a fleet: kitewood-lab count adds up the sidecars' debug logs

Need: the issue asks for counts over all sidecars together, by second and by destination and age. They were made by hand, and nobody could make them again.

Change: internal/lab/count reads a folder of logs (go-logfmt); the command prints windows by tier, what each destination got, and why connections were opened. The sidecar notes each call to discovery at debug level; the lab starts sidecars at debug level when it runs at it itself.

--- /dev/null
+++ b/internal/lab/count/count_test.go
@@ -0,0 +1,74 @@
+package count
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const at = "time=2026-12-01T12:00:0"
+
+// Two sidecars of one tier; the second has a line that is none of slog's, as of a panic's stack.
+var logs = []string{
+	at + "0.000Z level=INFO msg=serving tier=0\n" +
+		at + "0.100Z level=DEBUG msg=\"discovery is asked\" since=0\n" +
+		at + "1.500Z level=DEBUG msg=attempt class=0 attempt=0 destination=a age=3s status=\"timed out\" took=1s opened=true\n" +
+		at + "2.000Z level=DEBUG msg=attempt class=0 attempt=1 destination=a age=3.5s status=ok took=400ms opened=true\n" +
+		at + "2.000Z level=DEBUG msg=answer repeat=true verdict=served took=1.5s\n",
+	at + "0.000Z level=INFO msg=serving tier=0\ngoroutine 1 [running]:\n" +
+		at + "1.000Z level=DEBUG msg=attempt class=0 attempt=0 destination=a age=0s status=reset took=300ms opened=true\n" +
+		at + "1.100Z level=DEBUG msg=attempt class=0 attempt=0 destination=a age=0s status=ok took=200ms opened=true\n" +
+		at + "1.200Z level=WARN msg=\"the watch of discovery has ended\" error=EOF\n",
+}
+
+func write(t *testing.T, texts ...string) string {
+	dir := t.TempDir()
+	for i, text := range texts {
+		if err := os.WriteFile(filepath.Join(dir, string(rune('a'+i))+".log"), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return dir
+}
+
+func TestFleetIsAddedUp(t *testing.T) {
+	f, err := Read(write(t, logs...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := f.Windows(time.Second)
+	if len(w) != 2 || w[0].Attempts != 3 || w[0].Opened != 3 || w[0].Asked != 1 || w[0].Statuses["timed out"] != 1 ||
+		w[0].ClientRepeats != 1 || w[0].Verdicts["served"] != 1 || w[1].Repeats != 1 || w[1].Lost != 1 || f.Sidecars[0] != 2 {
+		t.Errorf("windows %+v %+v, sidecars %v", *w[0], *w[len(w)-1], f.Sidecars)
+	}
+	want := Destination{Name: "a", FirstSentAt: 500 * time.Millisecond, Sent: 4, OK: 2, MostOut: 3, ByAge: [4]int{0, 2}, Unanswered: 2,
+		Unserved: 200 * time.Millisecond}
+	if d := f.Destinations(); len(d) != 1 || *d[0] != want {
+		t.Errorf("destinations %+v, want %+v", *d[0], want)
+	}
+	if o := f.Opens(); len(o) != 1 || o[0] != (Opens{Attempts: 4, First: 2, Beside: 1, Again: 1}) {
+		t.Errorf("opened %+v", o)
+	}
+	if got := f.SlowShare(0, 1.2); got != 0.5 {
+		t.Errorf("%v of the served attempts are slow, want a half", got)
+	}
+}
+
+func TestBadLogs(t *testing.T) {
+	for text, want := range map[string]string{
+		"":              "debug",
+		logs[0][:47]:    "debug",
+		"msg=attempt\n": "line 1: took",
+		strings.Replace(logs[0], "took=1s", "took=soon", 1): "line 3: took",
+		strings.Replace(logs[0], "1.500Z", "x", 1):          "line 3: time",
+	} {
+		if _, err := Read(write(t, text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+	if _, err := Read(t.TempDir()); err == nil {
+		t.Error("an empty folder was counted")
+	}
+}
--- a/internal/lab/emulator/sidecar.go
+++ b/internal/lab/emulator/sidecar.go
@@ -1,9 +1,11 @@
 package emulator
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -88,7 +90,11 @@
 		return err
 	}
 	defer log.Close()
-	p := &process{cmd: exec.Command(s.w.binary, "serve"), ended: make(chan struct{})}
+	level := slog.LevelInfo
+	if s.w.log.Enabled(context.Background(), slog.LevelDebug) { // for kitewood-lab count
+		level = slog.LevelDebug
+	}
+	p := &process{cmd: exec.Command(s.w.binary, "serve", "--log-level", level.String()), ended: make(chan struct{})}
 	p.cmd.Env = append(append(os.Environ(), s.w.env...), "ROUTER_CONFIG="+s.file("json"))
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := s.w.starter.start(p.cmd); err != nil {
--- a/internal/transport/directory.go
+++ b/internal/transport/directory.go
@@ -121,6 +121,7 @@
 			err = fmt.Errorf("panic: %v", p)
 		}
 	}()
+	d.Log.Debug("discovery is asked", "address", address, "since", since)
 	until := time.Now().Add(opening)
 	dialer := net.Dialer{Deadline: until, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
