--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -248,3 +248,37 @@
 		}
 	}
 }
+
+// One time-out holds a server off for two aims, unless it has answered since that attempt was sent.
+func TestSilentServerIsHeldOff(t *testing.T) {
+	for _, c := range []struct {
+		answers bool
+		after   time.Duration
+		gets    bool
+	}{{false, 1900 * ms, false}, {false, 2100 * ms, true}, {true, 0, true}} {
+		b, h := learned(t, settings(), 3, 10*ms)
+		now := 2 * time.Second
+		send := func(id RequestID) send {
+			b.Request(now, Request{ID: id, Deadline: now + 3*time.Second})
+			return h.sends[len(h.sends)-1]
+		}
+		silent := send(900)
+		for id := RequestID(901); c.answers && id < 920; id++ { // within its doubt
+			x := send(id)
+			h.outcome(b, now, id, OK)
+			if now += ms; x.server == silent.server {
+				break
+			}
+		}
+		b.Outcome(now, Outcome{ID: 900, Server: silent.server, Status: Timeout, Latency: now})
+		now += c.after
+		gets := false
+		for id := range RequestID(12) {
+			gets = gets || send(2000+id).server == silent.server
+			h.outcome(b, now, 2000+id, OK)
+		}
+		if gets != c.gets {
+			t.Errorf("%+v: it gets requests %v", c, gets)
+		}
+	}
+}
--- a/balance/guard.go
+++ b/balance/guard.go
@@ -19,6 +19,7 @@
 	jam          = 0.6     // a server whose report foretells more than this part of the mean aim is no choice,
 	jamLeast     = 4.0     // if it holds more than this many
 	jamOld       = 0.6     // and the report is younger than this part of the mean aim
+	silentAims   = 2       // mean aims that a server is out which let an attempt time out, with no answer since
 	unfit        = 0.5     // a server whose share of failures exceeds that of all by this is ejected
 	failWeight   = 0.3     // of one outcome in a server's share of failures: two in a row eject, one does not
 	ejectShare   = 3       // at most one in this many tracked servers is ejected
@@ -302,6 +303,7 @@
 	reported := b.set.Report.Via == OnAnswers && b.readReport(s, o.Load, now)
 	switch o.Status {
 	case OK:
+		s.served = now
 		c.n++
 		c.lat += (o.Latency.Seconds() - c.lat) * max(slowSmoothed, 1/float64(c.n))
 		c.rank(o.Latency.Seconds() / max(b.meanLat, 1e-6))
@@ -320,6 +322,10 @@
 		if !r.ended {
 			b.read(s, 1, now)
 		}
+		// Ejection takes a quiet balancer three time-outs, each on another request that is lost.
+		if o.Status == Timeout && s.served <= a.sent {
+			s.outUntil = max(s.outUntil, now+silentAims*b.meanAim)
+		}
 	case FullUp:
 		b.read(s, 1, now)
 		s.outUntil = max(s.outUntil, now+b.meanAim/16)
--- a/balance/state.go
+++ b/balance/state.go
@@ -59,6 +59,7 @@
 	listed   bool       // in the list as last known
 	wanted   bool       // in the subset
 	tracked  bool
+	served   time.Duration // of the last answer
 	failed   float64       // smoothed share of failures among outcomes
 	outUntil time.Duration // ejected or held off until then
 	hold     time.Duration // how long the next ejection lasts
