Emulator: ask for the sidecar's debug log only where the lab's own level is debug

Change: the arguments are those of deploy/balancer.toml, 'serve' alone, unless the lab logs at debug level; the wrong proxy looks at the first argument only.

--- a/internal/lab/emulator/sidecar.go
+++ b/internal/lab/emulator/sidecar.go
@@ -90,11 +90,11 @@
 		return err
 	}
 	defer log.Close()
-	level := slog.LevelInfo
+	args := []string{"serve"}
 	if s.w.log.Enabled(context.Background(), slog.LevelDebug) { // for kitewood-lab count
-		level = slog.LevelDebug
+		args = append(args, "--log-level", "debug")
 	}
-	p := &process{cmd: exec.Command(s.w.binary, "serve", "--log-level", level.String()), ended: make(chan struct{})}
+	p := &process{cmd: exec.Command(s.w.binary, args...), ended: make(chan struct{})}
 	p.cmd.Env = append(append(os.Environ(), s.w.env...), "ROUTER_CONFIG="+s.file("json"))
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := s.w.starter.start(p.cmd); err != nil {
--- a/internal/lab/emulator/wrong_test.go
+++ b/internal/lab/emulator/wrong_test.go
@@ -19,7 +19,7 @@
 const wrongMode = "KITEWOOD_LAB_WRONG"
 
 func TestMain(m *testing.M) {
-	if mode := os.Getenv(wrongMode); mode != "" && len(os.Args) == 2 && os.Args[1] == "serve" {
+	if mode := os.Getenv(wrongMode); mode != "" && len(os.Args) > 1 && os.Args[1] == "serve" {
 		if err := wrongProxy(mode); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
