--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -24,18 +24,20 @@
 	return set
 }
 
-// A dozen balancers whose answers stop must not leave four attempts each at every server.
+// A dozen balancers whose answers stop must not leave four attempts each at every server, and together they hold no more
+// than what the servers may hold, not one attempt each everywhere.
 func TestManyBalancersHoldTheirPartOfAServer(t *testing.T) {
-	for _, c := range []struct{ balancers, servers, most int }{
-		{balancers: 1, servers: 8, most: 7},
-		{balancers: 12, servers: 8, most: 12},
-		{balancers: 40, servers: 8, most: 40},
+	for _, c := range []struct{ balancers, servers, most, all int }{
+		{balancers: 1, servers: 8, most: 7, all: 56},
+		{balancers: 12, servers: 8, most: 12, all: 64},
+		{balancers: 14, servers: 16, most: 14, all: 128},
+		{balancers: 40, servers: 8, most: 40, all: 320}, // one each, at the least
 	} {
-		held := map[ServerID]int{}
+		held, all := map[ServerID]int{}, 0
 		for me := range c.balancers {
 			b, h := learned(t, member(me, c.balancers), c.servers, 10*ms)
 			before := len(h.sends)
-			for i := range RequestID(40) {
+			for i := range RequestID(60) {
 				b.Request(time.Second, Request{ID: 1000 + i, Deadline: 4 * time.Second})
 			}
 			for _, s := range h.sends[before:] {
@@ -49,6 +51,10 @@
 			if n > c.most {
 				t.Errorf("%d balancers: server %d holds %d attempts, want at most %d", c.balancers, id, n, c.most)
 			}
+			all += n
+		}
+		if all > c.all || all < c.servers*fleetHold*3/4 {
+			t.Errorf("%d balancers: %d attempts out at %d servers, want about %v each", c.balancers, all, c.servers, fleetHold)
 		}
 	}
 }
@@ -111,23 +117,6 @@
 	}
 }
 
-// Balancers whose answers stop hold, together, no more than what the servers may hold, not one attempt each everywhere.
-func TestRoomIsSharedByAllBalancers(t *testing.T) {
-	const balancers, servers = 14, 16
-	held := 0
-	for me := range balancers {
-		b, h := learned(t, member(me, balancers), servers, 10*ms)
-		before := len(h.sends)
-		for i := range RequestID(60) {
-			b.Request(time.Second, Request{ID: 1000 + i, Deadline: 4 * time.Second})
-		}
-		held += len(h.sends) - before
-	}
-	if held < servers*fleetHold*3/4 || held > servers*(fleetHold+1) {
-		t.Errorf("%d attempts out at %d servers, want about %v each", held, servers, fleetHold)
-	}
-}
-
 // A server that reports more than it can answer in time gets nothing until the report is old.
 func TestJammedServerGetsNothing(t *testing.T) {
 	for _, c := range []struct {
