--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -7,9 +7,6 @@
 	"strings"
 )
 
-// wrong is a figure that cannot be, by the key where it stands.
-type wrongFigure struct{ key, text string }
-
 // troubleKeys are the keys that a kind of trouble has beside kind and at. A ! marks one that it needs.
 var troubleKeys = map[string][]string{
 	"vanish":          {"for!", "tier", "part", "count"},
@@ -25,12 +22,8 @@
 	"discovery-down":  {"for!"},
 }
 
-// wrong checks the figures.
-func (s *Scenario) wrong() []wrongFigure {
-	var out []wrongFigure
-	bad := func(key, format string, args ...any) {
-		out = append(out, wrongFigure{key, fmt.Sprintf(format, args...)})
-	}
+// wrong checks the figures, and names each that cannot be by the key where it stands.
+func (s *Scenario) wrong(bad func(key, format string, args ...any)) {
 	above := func(key string, v float64) {
 		if !(v > 0) || math.IsInf(v, 0) {
 			bad(key, "must be above 0, not %g", v)
@@ -120,7 +113,6 @@
 	for i := range s.Troubles {
 		s.wrongTrouble(i, bad, part)
 	}
-	return out
 }
 
 func (s *Scenario) wrongLoad(bad func(string, string, ...any)) {
--- a/internal/lab/scenario/values.go
+++ b/internal/lab/scenario/values.go
@@ -4,36 +4,14 @@
 	"fmt"
 	"math/rand/v2"
 	"strconv"
-	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
-)
 
-// Duration is a span written as 500ms or 1m30s. A bare number is refused: nobody can tell its unit.
-type Duration time.Duration
+	"kitewood/internal/yamlfile"
+)
 
-// D is the span as the standard library has it.
-func (d Duration) D() time.Duration { return time.Duration(d) }
-
-// UnmarshalYAML reads a span.
-func (d *Duration) UnmarshalYAML(node ast.Node) error {
-	text := node.GetToken().Value
-	v, err := time.ParseDuration(text)
-	if s, ok := node.(*ast.StringNode); ok {
-		v, err = time.ParseDuration(s.Value)
-	} else {
-		err = fmt.Errorf("no unit")
-	}
-	if err != nil {
-		return at(node, fmt.Sprintf("%s: a span with its unit is wanted, like 500ms or 2s, not %q", key(node), text))
-	}
-	*d = Duration(v)
-	return nil
-}
-
-// MarshalYAML writes it as it is read.
-func (d Duration) MarshalYAML() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+// Duration is a span written as 500ms or 1m30s.
+type Duration = yamlfile.Duration
 
 // Range is a figure, or a range [low, high] from which each machine's is drawn.
 type Range struct{ Low, High float64 }
@@ -49,7 +27,7 @@
 	read := func(n ast.Node) (float64, error) {
 		v, err := strconv.ParseFloat(n.GetToken().Value, 64)
 		if err != nil {
-			return 0, at(n, fmt.Sprintf("%s: a number is wanted, not %q", key(node), n.GetToken().Value))
+			return 0, yamlfile.At(n, fmt.Sprintf("%s: a number is wanted, not %q", yamlfile.Key(node), n.GetToken().Value))
 		}
 		return v, nil
 	}
@@ -61,7 +39,7 @@
 		return err
 	}
 	if len(list.Values) != 2 {
-		return at(node, fmt.Sprintf("%s: a range has two figures, [low, high]", key(node)))
+		return yamlfile.At(node, fmt.Sprintf("%s: a range has two figures, [low, high]", yamlfile.Key(node)))
 	}
 	if r.Low, err = read(list.Values[0]); err != nil {
 		return err
@@ -77,16 +55,3 @@
 	}
 	return fmt.Appendf(nil, "[%g, %g]", r.Low, r.High), nil
 }
-
-func at(node ast.Node, message string) error {
-	return &yaml.SyntaxError{Message: message, Token: node.GetToken()}
-}
-
-// key is where a node stands, as in tiers[0].cold.time.
-func key(node ast.Node) string {
-	path := node.GetPath()
-	if len(path) > 2 {
-		return path[2:]
-	}
-	return path
-}
--- /dev/null
+++ b/internal/share/share.go
@@ -0,0 +1,171 @@
+// Package share divides one limit of the process, such as open operations or connections, among pools. Each pool has a
+// guaranteed part and may borrow what the others leave idle. Nothing that was taken is broken off: a pool that asks for
+// its guaranteed part while it is lent out gets the next that is given back, before any borrower. The package knows no
+// clock and is not safe for concurrent use.
+package share
+
+import (
+	"fmt"
+	"time"
+)
+
+// Part is what a pool may take of a limit.
+type Part struct {
+	Guaranteed int // units that no other pool can keep from it for longer than until the next is given back
+	Most       int // units, borrowed ones included; 0 for no limit but the whole
+}
+
+// claimFor is how long a claim keeps room for a pool that was turned away inside its guaranteed part. Its clients may
+// not come back; then the room must not stand idle.
+const claimFor = time.Second
+
+// spareShare is the part of the whole that borrowers leave free, so that a pool that wakes finds room without waiting
+// for an answer of another's.
+const spareShare = 8
+
+// Limit is one limit and what pools hold of it.
+type Limit struct {
+	whole int
+	used  int
+	pools map[string]*pool
+	asked uint64 // claims so far
+}
+
+type pool struct {
+	Part
+	gone  bool // it takes nothing any more, and is forgotten once it has given all back
+	used  int
+	claim claim
+}
+
+// claim is room that is kept for a pool.
+type claim struct {
+	units int
+	until time.Duration
+	order uint64
+}
+
+// New divides a limit of some units. See Set for its errors.
+func New(whole int, parts map[string]Part) (*Limit, error) {
+	l := &Limit{pools: map[string]*pool{}}
+	return l, l.Set(whole, parts)
+}
+
+// Set divides the limit anew. What pools hold stays theirs, also beyond their new part, and what a pool that is no longer
+// named holds still counts until it is given back. On an error nothing is changed.
+func (l *Limit) Set(whole int, parts map[string]Part) error {
+	sum := 0
+	for name, p := range parts {
+		if p.Guaranteed < 1 {
+			return fmt.Errorf("pool %q: the guaranteed part must be at least 1, not %d", name, p.Guaranteed)
+		}
+		if p.Most != 0 && p.Most < p.Guaranteed {
+			return fmt.Errorf("pool %q: at most %d are less than the guaranteed %d", name, p.Most, p.Guaranteed)
+		}
+		sum += p.Guaranteed
+	}
+	if sum > whole {
+		return fmt.Errorf("the guaranteed parts add up to %d of %d", sum, whole)
+	}
+	l.whole = whole
+	for name, p := range l.pools {
+		if _, named := parts[name]; !named {
+			p.Part, p.gone, p.claim = Part{}, true, claim{}
+			l.forget(name, p)
+		}
+	}
+	for name, part := range parts {
+		p := l.pools[name]
+		if p == nil {
+			p = &pool{}
+			l.pools[name] = p
+		}
+		p.Part, p.gone, p.claim = part, false, claim{}
+	}
+	return nil
+}
+
+func (l *Limit) forget(name string, p *pool) {
+	if p.gone && p.used == 0 {
+		delete(l.pools, name)
+	}
+}
+
+// Take takes units for a pool, all or none. A refusal inside the guaranteed part keeps the next units that are given
+// back for the pool, for a second.
+func (l *Limit) Take(now time.Duration, name string, units int) bool {
+	p := l.pools[name]
+	if p == nil || p.gone || units < 0 || p.Most > 0 && p.used+units > p.Most {
+		return false
+	}
+	free := l.whole - l.used
+	owed := p.used+units <= p.Guaranteed
+	for _, o := range l.pools {
+		if o == p || o.claim.units == 0 || o.claim.until <= now {
+			continue
+		}
+		// Those that asked for their own before go first; a borrower comes after all.
+		if !owed || p.claim.units == 0 || o.claim.order < p.claim.order {
+			free -= o.claim.units
+		}
+	}
+	if !owed {
+		free -= l.spare(p)
+	}
+	if units <= free {
+		p.used += units
+		l.used += units
+		p.claim.units = max(p.claim.units-units, 0)
+		return true
+	}
+	if owed {
+		if p.claim.units == 0 || p.claim.until <= now {
+			l.asked++
+			p.claim = claim{order: l.asked}
+		}
+		p.claim.units, p.claim.until = max(p.claim.units, units), now+claimFor
+	}
+	return false
+}
+
+// spare is what a borrower leaves free: no more than the others could claim.
+func (l *Limit) spare(borrower *pool) int {
+	idle := 0
+	for _, o := range l.pools {
+		if o != borrower {
+			idle += max(o.Guaranteed-o.used, 0)
+		}
+	}
+	return min(idle, (l.whole+spareShare-1)/spareShare)
+}
+
+// Give gives units back.
+func (l *Limit) Give(name string, units int) {
+	p := l.pools[name]
+	if p == nil || units > p.used || units < 0 {
+		panic(fmt.Sprintf("share: pool %q gives back %d units that it does not hold", name, units))
+	}
+	p.used -= units
+	l.used -= units
+	l.forget(name, p)
+}
+
+// Use is what a pool holds of a limit.
+type Use struct {
+	Part
+	Used     int
+	Borrowed int // of Used, beyond the guaranteed part
+	Gone     bool
+}
+
+// Whole tells the units there are and those that are taken.
+func (l *Limit) Whole() (whole, used int) { return l.whole, l.used }
+
+// Uses tells what each pool holds.
+func (l *Limit) Uses() map[string]Use {
+	out := make(map[string]Use, len(l.pools))
+	for name, p := range l.pools {
+		out[name] = Use{Part: p.Part, Used: p.used, Borrowed: max(p.used-p.Guaranteed, 0), Gone: p.gone}
+	}
+	return out
+}
