--- a/cmd/kitewood/main.go
+++ b/cmd/kitewood/main.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 
@@ -28,26 +30,33 @@
 		Commands: []*cli.Command{
 			{
 				Name:  "serve",
-				Usage: "run the sidecar that $ROUTER_CONFIG describes until SIGTERM; at SIGHUP, read discovery from it again",
-				Flags: []cli.Flag{&cli.StringFlag{Name: "log-level", Value: "info", Usage: "debug, info, warn or error"}},
+				Usage: "run the sidecar that $ROUTER_CONFIG or --config describes until SIGTERM; at SIGHUP, read it again",
+				Flags: []cli.Flag{&cli.StringFlag{Name: "log-level", Value: "info", Usage: "debug, info, warn or error"}, configFlag()},
 				Action: func(ctx context.Context, c *cli.Command) error {
 					var level slog.Level
 					if err := level.UnmarshalText([]byte(c.String("log-level"))); err != nil {
 						return fmt.Errorf("--log-level: %w", err)
 					}
+					log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+					if path := c.String("config"); path != "" {
+						return oneLine(program.ServeFile(ctx, path, log))
+					}
 					config, err := program.Load(os.Getenv)
 					if err != nil {
 						return err
 					}
-					log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 					reload := func() (*program.Config, error) { return program.Reload(os.Getenv) }
 					return program.Serve(ctx, config, reload, log)
 				},
 			},
 			{
 				Name:  "check-config",
-				Usage: "read the configuration as serve would, and say what is wrong with it",
+				Usage: "read the configuration as serve would, and say what is wrong with it; of a --config, print the whole with defaults",
+				Flags: []cli.Flag{configFlag()},
 				Action: func(_ context.Context, c *cli.Command) error {
+					if path := c.String("config"); path != "" {
+						return program.CheckFile(path, c.Root().Writer)
+					}
 					config, err := program.Load(os.Getenv)
 					if err != nil {
 						return err
@@ -68,3 +77,16 @@
 		},
 	}
 }
+
+// configFlag names a configuration of the product's own form.
+func configFlag() cli.Flag {
+	return &cli.StringFlag{Name: "config", Usage: "YAML configuration of pools and routes (docs/configuration.md), instead of $ROUTER_CONFIG"}
+}
+
+// oneLine keeps what is wrong with a configuration on one line, as supervisors show one.
+func oneLine(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.New(strings.ReplaceAll(err.Error(), "\n", "; "))
+}
--- /dev/null
+++ b/internal/config/resolve.go
@@ -0,0 +1,94 @@
+package config
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"kitewood/balance"
+	"kitewood/internal/route"
+	"kitewood/internal/transport"
+)
+
+// The words of the file and what they stand for.
+var (
+	effects = map[string]balance.Effect{"safe": balance.Safe, "keyed": balance.Keyed, "unsafe": balance.Unsafe}
+	vias    = map[string]balance.Via{"none": balance.NoReports, "answers": balance.OnAnswers, "probes": balance.OnProbes}
+	fields  = map[string]balance.Field{"util": balance.Util, "inflight": balance.Inflight, "queue": balance.Queue,
+		"latency_ms": balance.LatencyMS, "qps": balance.QPS, "eps": balance.EPS}
+	// methods are those whose answers are read like those of GET: the answer to HEAD has a length and no body.
+	methods = []string{"GET", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
+)
+
+const minSockets = transport.MinSockets
+
+func (f *File) budget() (front, destinations int) {
+	b := f.Budget()
+	return b.Front, b.Destinations
+}
+
+// Budget divides the descriptors of the process.
+func (f *File) Budget() transport.Budget {
+	// Each further listener needs a descriptor and may be one connection ahead; each pool watches a list; files share one
+	// watch of two descriptors, and an admin socket takes up to four.
+	more := 2*max(len(f.Listeners)-1, 0) + len(f.Pools) + 2
+	if f.Admin != "" {
+		more += 4
+	}
+	return transport.NewBudget(max(f.Limits.Sockets-more, minSockets), int64(f.Limits.MemoryMB)<<20)
+}
+
+// SeedOf is the seed of a pool's random choices: no two pools draw the same.
+func (f *File) SeedOf(pool string) uint64 {
+	seed, err := strconv.ParseUint(f.Seed, 16, 64)
+	if err != nil {
+		seed = xxhash.Sum64String(f.Name)
+	}
+	return seed ^ xxhash.Sum64String(pool)
+}
+
+// Module is the decision module's settings for a pool. News of destinations has to be asked for where discovery gives it.
+func (p *Pool) Module(seed uint64) balance.Settings {
+	s := balance.Settings{
+		Seed: seed, Me: p.Sidecars.Me, Balancers: p.Sidecars.Of, Zone: max(slices.Index(p.Zones, p.Zone), 0),
+		Goal:   balance.Goal{Whole: 1},
+		Prices: balance.Prices{Waste: 0.02, LateFail: 0.03, Probe: 0.001},
+		Report: balance.Report{Via: vias[p.Reports.Via]},
+		Limits: balance.Limits{Probes: p.Probes, Cancel: true, RetryAfter: p.RetryAfter > 0, MaxAttempts: p.Attempts,
+			MaxRetryAfter: p.RetryAfter.D()},
+		Rules: balance.Rules{DrainGrace: ms(500).D(), AskWithin: ms(10_000).D(), ColdShare: p.Cold.Share, ColdTime: p.Cold.Time.D(),
+			FallMultiple: p.Cold.Multiple, FallTime: p.Cold.Window.D()},
+		Ask:           p.Members.Discovery != "",
+		UnitsMeanSize: true,
+	}
+	for _, name := range p.Reports.Fields {
+		s.Report.Fields = append(s.Report.Fields, fields[name])
+	}
+	for _, c := range p.Classes {
+		s.Classes = append(s.Classes, balance.Class{Aim: c.Aim.D(), Deadline: c.Deadline.D(), Worth: c.Worth,
+			LateWorth: c.LateWorth, Effect: effects[c.Effect], Window: c.Window.D()})
+	}
+	return s
+}
+
+func (r *Route) rule(target int) route.Rule {
+	rule := route.Rule{Hosts: r.Hosts, Path: r.Path, Class: r.Class, Target: target}
+	if r.Exact != "" {
+		rule.Path, rule.Exact = r.Exact, true
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.Headers)) {
+		rule.Headers = append(rule.Headers, route.Header{Name: name, Value: r.Headers[name]})
+	}
+	return rule
+}
+
+// Table compiles the routes. A match's target is the place of its route in the file.
+func (f *File) Table() (*route.Table, error) {
+	rules := make([]route.Rule, 0, len(f.Routes))
+	for i := range f.Routes {
+		rules = append(rules, f.Routes[i].rule(i))
+	}
+	return route.New(rules)
+}
--- /dev/null
+++ b/internal/config/types.go
@@ -0,0 +1,180 @@
+// Package config is the product's own configuration: one process that fronts several services, each a pool with
+// destinations, classes and limits of its own. docs/configuration.md documents it key by key.
+package config
+
+//go:generate go run ./schemagen ../../docs/configuration.schema.json
+
+import "kitewood/internal/yamlfile"
+
+// Duration is a span written as 500ms or 1m30s.
+type Duration = yamlfile.Duration
+
+// File is a whole configuration.
+type File struct {
+	// Name of this process, in logs.
+	Name string `yaml:"name"`
+	// Seed of all random choices, up to 16 hexadecimal digits; left out, it follows from the name.
+	Seed string `yaml:"seed,omitempty"`
+	// Limits of the whole process.
+	Limits Limits `yaml:"limits,omitempty"`
+	// Listeners are the front sockets. All of them serve all routes.
+	Listeners []Listener `yaml:"listeners"`
+	// Admin is the path of a unix socket that shows the live state; left out, there is none.
+	Admin string `yaml:"admin,omitempty"`
+	// Pools are the services.
+	Pools []Pool `yaml:"pools"`
+	// Routes lead requests to pools. What no route fits is answered 404.
+	Routes []Route `yaml:"routes"`
+}
+
+// Limits of the process. Pools share operations, parked, connections and memory.
+type Limits struct {
+	// Cores that the process may use, 1 if left out.
+	Cores float64 `yaml:"cores,omitempty"`
+	// MemoryMB the process may use, 64 if left out.
+	MemoryMB int `yaml:"memory_mb,omitempty"`
+	// Sockets are all descriptors of the process, 1024 if left out.
+	Sockets int `yaml:"sockets,omitempty"`
+	// Operations open at a time in all pools; at most, and if left out, seven eighths of the clients' connections.
+	Operations int `yaml:"operations,omitempty"`
+}
+
+// Listener is a front socket.
+type Listener struct {
+	// Address to listen on, IP and port.
+	Address string `yaml:"address"`
+}
+
+// Pool is one service.
+type Pool struct {
+	// Name of the pool, in routes, logs and the admin socket.
+	Name string `yaml:"name"`
+	// Members tell where the list of destinations comes from.
+	Members Members `yaml:"members"`
+	// Classes of requests, at least one. A request that states none is of its route's class, or of the first that takes its method.
+	Classes []Class `yaml:"classes"`
+	// Sidecars that share the pool's destinations, this one among them.
+	Sidecars Sidecars `yaml:"sidecars,omitempty"`
+	// Zone that this process stands in; one of zones.
+	Zone string `yaml:"zone,omitempty"`
+	// Zones that destinations may name.
+	Zones []string `yaml:"zones,omitempty"`
+	// Kinds of machines that destinations may name.
+	Kinds []string `yaml:"kinds,omitempty"`
+	// Attempts for one operation at the most, 3 if left out.
+	Attempts int `yaml:"attempts,omitempty"`
+	// RetryAfter is the longest advice when to come back, 2s if left out.
+	RetryAfter Duration `yaml:"retry_after,omitempty"`
+	// Probes of health and load may be sent.
+	Probes bool `yaml:"probes,omitempty"`
+	// Reports of load that destinations give.
+	Reports Reports `yaml:"reports,omitempty"`
+	// Cold is how destinations are that have just started.
+	Cold Cold `yaml:"cold,omitempty"`
+	// Connections to the pool's destinations.
+	Connections Connections `yaml:"connections,omitempty"`
+	// Shares of the process's limits.
+	Shares Shares `yaml:"shares,omitempty"`
+}
+
+// Members are a list's source: exactly one of the two is given.
+type Members struct {
+	// Discovery is the address of the platform's discovery, IP and port.
+	Discovery string `yaml:"discovery,omitempty"`
+	// File with the list. It is watched; relative paths start at the configuration's folder.
+	File string `yaml:"file,omitempty"`
+}
+
+// Class is a class of requests.
+type Class struct {
+	// Name that requests state in X-Service-Class.
+	Name string `yaml:"name"`
+	// Methods that it takes; left out, GET for safe classes and POST for others.
+	Methods []string `yaml:"methods,omitempty"`
+	// Effect is safe (may be repeated freely), keyed (destinations drop repeats) or unsafe (must never run twice).
+	Effect string `yaml:"effect"`
+	// Window in which destinations drop repeats of a keyed class.
+	Window Duration `yaml:"window,omitempty"`
+	// Aim: an answer within it earns the full worth.
+	Aim Duration `yaml:"aim"`
+	// Deadline: how long a client waits that does not say.
+	Deadline Duration `yaml:"deadline"`
+	// Worth of an answer against other classes, 1 if left out.
+	Worth float64 `yaml:"worth,omitempty"`
+	// LateWorth is the share of the worth that an answer after the aim still has.
+	LateWorth float64 `yaml:"late_worth,omitempty"`
+}
+
+// Sidecars is this process's place among those that send to the same destinations.
+type Sidecars struct {
+	// Me is this one's number, from 0.
+	Me int `yaml:"me,omitempty"`
+	// Of is how many there are, 1 if left out.
+	Of int `yaml:"of,omitempty"`
+}
+
+// Reports of load.
+type Reports struct {
+	// Via is answers, probes or none, none if left out.
+	Via string `yaml:"via,omitempty"`
+	// Fields of a report: util, inflight, queue, qps, latency_ms, eps.
+	Fields []string `yaml:"fields,omitempty"`
+}
+
+// Cold is what a destination can do that has just started.
+type Cold struct {
+	// Share of its work at its start, 0.2 if left out.
+	Share float64 `yaml:"share,omitempty"`
+	// Time until it can do all of it, 20s if left out.
+	Time Duration `yaml:"time,omitempty"`
+	// Multiple of what it can do that tips it over, 2.5 if left out.
+	Multiple float64 `yaml:"multiple,omitempty"`
+	// Window that it must last for, 1.5s if left out.
+	Window Duration `yaml:"window,omitempty"`
+}
+
+// Connections to destinations.
+type Connections struct {
+	// Idle is how long destinations keep an idle connection, 30s if left out.
+	Idle Duration `yaml:"idle,omitempty"`
+	// Timeout of a handshake, 250ms if left out.
+	Timeout Duration `yaml:"timeout,omitempty"`
+}
+
+// Shares of the process's limits. Left out, half of each limit is guaranteed to the pools in equal parts.
+type Shares struct {
+	// Operations open at a time.
+	Operations Share `yaml:"operations,omitempty"`
+	// Parked are open operations that wait for a destination; there are half as many as operations.
+	Parked Share `yaml:"parked,omitempty"`
+	// Connections to destinations.
+	Connections Share `yaml:"connections,omitempty"`
+	// MemoryKB for bodies of requests.
+	MemoryKB Share `yaml:"memory_kb,omitempty"`
+}
+
+// Share of one limit.
+type Share struct {
+	// Guaranteed units, which the pool gets back with the next that another gives back.
+	Guaranteed int `yaml:"guaranteed,omitempty"`
+	// Most units, borrowed ones included; left out, all that are idle.
+	Most int `yaml:"most,omitempty"`
+}
+
+// Route leads requests to a pool. All conditions that are given have to fit.
+type Route struct {
+	// Hosts: names, names with a port, or wildcards such as *.example.org; left out, any.
+	Hosts []string `yaml:"hosts,omitempty"`
+	// Path prefix, by whole segments.
+	Path string `yaml:"path,omitempty"`
+	// Exact path, instead of a prefix.
+	Exact string `yaml:"exact,omitempty"`
+	// Class that the request states.
+	Class string `yaml:"class,omitempty"`
+	// Headers with their values; an empty value only wants the field to be there.
+	Headers map[string]string `yaml:"headers,omitempty"`
+	// Pool that the request goes to.
+	Pool string `yaml:"pool"`
+	// As is the class of requests that state none.
+	As string `yaml:"as,omitempty"`
+}
--- /dev/null
+++ b/internal/pools/limits.go
@@ -0,0 +1,152 @@
+// Package pools runs the services of one process: each has a Loop, connections and a list of destinations of its own, and
+// a share of the process's limits. It takes a new configuration while it serves.
+package pools
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"kitewood/internal/config"
+	"kitewood/internal/share"
+	"kitewood/internal/transport"
+)
+
+// limits hold what the pools share. They are the driver of the share package's core.
+type limits struct {
+	mu  sync.Mutex
+	now func() time.Duration
+	all map[string]*share.Limit // by the key in shares
+
+	evict func(pool string) bool // closes an idle connection of a pool
+}
+
+func newLimits(now func() time.Duration, evict func(string) bool) *limits {
+	return &limits{now: now, all: map[string]*share.Limit{}, evict: evict}
+}
+
+// set divides the limits as a configuration has it.
+func (l *limits) set(f *config.File) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, w := range f.Wholes() {
+		parts := map[string]share.Part{}
+		for i := range f.Pools {
+			parts[f.Pools[i].Name] = share.Part(*w.Of(&f.Pools[i]))
+		}
+		var err error
+		if limit := l.all[w.Key]; limit != nil {
+			err = limit.Set(w.Units, parts)
+		} else {
+			l.all[w.Key], err = share.New(w.Units, parts)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// uses is what each pool holds of a limit.
+func (l *limits) uses(key string) (whole, used int, pools map[string]share.Use) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	whole, used = l.all[key].Whole()
+	return whole, used, l.all[key].Uses()
+}
+
+// gate is a pool's share of operations, of those parked, and of memory. It implements transport.Gate.
+type gate struct {
+	*limits
+	pool string
+}
+
+var _ transport.Gate = gate{}
+
+// Enter takes an operation's room, all of it or none.
+func (g gate) Enter(body int) (transport.Pass, bool) {
+	kb := (body + 1023) >> 10
+	units := [...]struct {
+		key string
+		n   int
+	}{{"operations", 1}, {"parked", 1}, {"memory_kb", kb}}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, u := range units {
+		if g.all[u.key].Take(g.now(), g.pool, u.n) {
+			continue
+		}
+		for _, taken := range units[:i] {
+			g.all[taken.key].Give(g.pool, taken.n)
+		}
+		return nil, false
+	}
+	return &pass{gate: g, kb: kb}, true
+}
+
+// pass implements transport.Pass.
+type pass struct {
+	gate
+	kb     int
+	parked atomic.Bool // given back
+}
+
+// Sent gives back the operation's place among the parked.
+func (p *pass) Sent() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unpark()
+}
+
+func (p *pass) unpark() {
+	if !p.parked.Swap(true) {
+		p.all["parked"].Give(p.pool, 1)
+	}
+}
+
+// Leave gives back all.
+func (p *pass) Leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unpark()
+	p.all["operations"].Give(p.pool, 1)
+	p.all["memory_kb"].Give(p.pool, p.kb)
+}
+
+// room is a pool's share of connections. It implements transport.Room.
+type room struct {
+	*limits
+	pool string
+}
+
+var _ transport.Room = room{}
+
+// Take takes one. Where others have borrowed what is the pool's own, one that stands idle is closed for it.
+func (r room) Take() bool {
+	if r.take() {
+		return true
+	}
+	_, _, uses := r.uses("connections")
+	if own := uses[r.pool]; own.Used >= own.Guaranteed {
+		return false
+	}
+	for name, u := range uses {
+		if name != r.pool && u.Borrowed > 0 && r.evict(name) {
+			return r.take()
+		}
+	}
+	return false
+}
+
+func (r room) take() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.all["connections"].Take(r.now(), r.pool, 1)
+}
+
+// Give gives one back.
+func (r room) Give() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all["connections"].Give(r.pool, 1)
+}
--- /dev/null
+++ b/internal/pools/pool.go
@@ -0,0 +1,93 @@
+package pools
+
+import (
+	"context"
+	"time"
+
+	"kitewood/internal/config"
+	"kitewood/internal/listfile"
+	"kitewood/internal/protocol"
+	"kitewood/internal/routing"
+	"kitewood/internal/transport"
+)
+
+// pool is one service.
+type pool struct {
+	conf         config.Pool
+	ctx          context.Context
+	cancel       context.CancelFunc
+	loop         *routing.Loop
+	destinations *transport.Destinations
+	watch        routing.Directory
+	discovery    *transport.Directory // nil where the list is a file
+	classes      []protocol.Class
+	service      transport.Service
+}
+
+// idleShare of the time that destinations keep an idle connection is how long it is used here: one that its peer closes
+// as a request is written counts as one that may have run.
+const idleShare = 0.7
+
+// fullAdvice is when to come back to a pool that is full or stuck, where its settings allow so much.
+const fullAdvice = time.Second
+
+// prepare makes a pool that does not run yet. Its list has been read if it is a file.
+func (s *Set) prepare(f *config.File, conf *config.Pool) (*pool, error) {
+	log := s.log.With("pool", conf.Name)
+	loop, err := routing.New(conf.Module(f.SeedOf(conf.Name)), routing.Names{Zones: conf.Zones, Kinds: conf.Kinds}, s.clock, log)
+	if err != nil {
+		return nil, err
+	}
+	p := &pool{conf: *conf, loop: loop}
+	p.ctx, p.cancel = context.WithCancel(s.ctx)
+	switch m := conf.Members; {
+	case m.Discovery != "":
+		p.discovery = transport.NewDirectory(p.ctx, m.Discovery, loop, log)
+		p.watch = p.discovery
+	case m.File != "":
+		if s.watcher == nil {
+			if s.watcher, err = listfile.NewWatcher(s.ctx, s.log); err != nil {
+				p.cancel()
+				return nil, err
+			}
+		}
+		if p.watch, err = s.watcher.Source(p.ctx, m.File, loop, log); err != nil {
+			p.cancel()
+			return nil, err
+		}
+	default:
+		p.cancel()
+		return nil, errNoList
+	}
+	options := transport.Options{Clock: s.clock, ConnectTimeout: conf.Connections.Timeout.D(),
+		IdleFor: time.Duration(float64(conf.Connections.Idle) * idleShare), Room: room{s.limits, conf.Name}, PassErrors: true,
+		Fields: conf.Reports.Fields, ProbePath: "/health/live", Log: log}
+	if conf.Reports.Via != "none" {
+		options.ProbePath = "/stats"
+	}
+	p.destinations = transport.NewDestinations(options)
+	for _, c := range conf.Classes {
+		p.classes = append(p.classes, protocol.Class{Name: c.Name, Methods: c.Methods, Deadline: c.Deadline.D()})
+	}
+	p.service = transport.Service{Loop: loop, Gate: gate{s.limits, conf.Name}, Advice: min(fullAdvice, conf.RetryAfter.D())}
+	return p, nil
+}
+
+// run starts the pool's Loop.
+func (p *pool) run() { go p.loop.Run(p.ctx, p.destinations, p.watch) }
+
+// adopt takes what may change while the pool runs.
+func (p *pool) adopt(conf *config.Pool) {
+	if p.discovery != nil && conf.Members.Discovery != p.conf.Members.Discovery {
+		p.discovery.Move(conf.Members.Discovery)
+	}
+	p.conf = *conf
+}
+
+// longest is the longest deadline of a class.
+func (p *pool) longest() (d time.Duration) {
+	for _, c := range p.classes {
+		d = max(d, c.Deadline)
+	}
+	return d
+}
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -133,9 +133,9 @@
 		if p.Name == "" {
 			return nil, fmt.Errorf("settings: profile %d has no name", i)
 		}
-		class := protocol.Class{Name: p.Name, Method: "POST", Deadline: seconds(p.GiveUpS)}
+		class := protocol.Class{Name: p.Name, Methods: []string{"POST"}, Deadline: seconds(p.GiveUpS)}
 		if p.Repeat == "safe" {
-			class.Method = "GET"
+			class.Methods = []string{"GET"}
 		}
 		c.Classes = append(c.Classes, class)
 	}
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -40,7 +40,7 @@
 		t.Fatal(err)
 	}
 	if c.Name != "n4" || c.Module.Seed != 0x8c1f30d27a5be964 || len(c.Known.Destinations) != 1 || c.Sockets != 1024 ||
-		c.Classes[0].Method != "GET" || c.Classes[1].Method != "POST" || c.Classes[1].Deadline != 4*time.Second ||
+		c.Classes[0].Methods[0] != "GET" || c.Classes[1].Methods[0] != "POST" || c.Classes[1].Deadline != 4*time.Second ||
 		c.ConnTimeout != 250*time.Millisecond || c.Kinds[1] != "m2" {
 		t.Errorf("%+v", c)
 	}
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
@@ -20,6 +21,7 @@
 const (
 	stopLongest = 3 * time.Second
 	stopMargin  = 500 * time.Millisecond
+	stuckAdvice = time.Second // when clients should come back while the loop is stuck
 )
 
 // Serve runs a sidecar until a signal stops it and nothing is owed to a client any more. At SIGHUP it calls reload and
@@ -28,14 +30,13 @@
 	limit(c)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signals := listen()
 	defer signal.Stop(signals)
 
 	clock := routing.NewClock()
 	budget := transport.NewBudget(c.Sockets, int64(c.MemoryMB)<<20)
 	options := transport.Options{Clock: clock, ConnectTimeout: c.ConnTimeout, IdleFor: c.ConnIdle * 7 / 10,
-		Most: budget.Destinations, Fields: c.LoadFields, ProbePath: "/health/live", Log: log}
+		Room: transport.NewRoom(budget.Destinations), Fields: c.LoadFields, ProbePath: "/health/live", Log: log}
 	if c.Module.Report.Via != balance.NoReports {
 		options.ProbePath = "/stats"
 	}
@@ -45,7 +46,11 @@
 		return err
 	}
 	directory := transport.NewDirectory(ctx, c.Discovery, loop, log)
-	front := transport.NewFront(loop, c.Classes, budget, log)
+	service := &transport.Service{Loop: loop}
+	if c.Module.Limits.RetryAfter {
+		service.Advice = min(stuckAdvice, c.Module.Limits.MaxRetryAfter)
+	}
+	front := transport.NewFront(clock, transport.OnePool(service, c.Classes), budget, log)
 
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
@@ -57,32 +62,50 @@
 	go front.Serve(ln)
 	log.Info("serving", "name", c.Name, "listen", c.Listen, "tier", c.Module.Tier, "destinations", len(c.Known.Destinations))
 
-	for stop := false; !stop; {
-		select {
-		case <-ctx.Done():
-			stop = true
-		case s := <-signals:
-			if stop = s != syscall.SIGHUP; stop {
-				log.Info("stopping", "signal", s.String(), "owed", loop.Owed())
-			} else if next, err := reload(); err != nil {
-				// A file that is half written or wrong must not take a sidecar down that serves.
-				log.Error("the configuration is not taken, the old one stays", "error", err)
-			} else {
-				log.Info("configuration read again: discovery is taken from it, all else at the next start",
-					"discovery", next.Discovery)
-				directory.Move(next.Discovery)
-			}
+	untilStopped(ctx, signals, log, loop.Owed, func() error {
+		next, err := reload()
+		if err != nil {
+			return err
 		}
-	}
+		log.Info("configuration read again: discovery is taken from it, all else at the next start", "discovery", next.Discovery)
+		directory.Move(next.Discovery)
+		return nil
+	})
 	longest := time.Duration(0)
 	for _, class := range c.Classes {
 		longest = max(longest, class.Deadline)
 	}
-	front.Stop(ctx, ln, min(longest, stopLongest)+stopMargin)
+	front.Stop(ctx, min(longest, stopLongest)+stopMargin, ln)
 	log.Info("stopped", "owed", loop.Owed())
 	return nil
 }
 
+// listen has the signals that a sidecar knows come to a channel.
+func listen() chan os.Signal {
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return signals
+}
+
+// untilStopped waits for the signal to stop, and reads the configuration again at each SIGHUP.
+func untilStopped(ctx context.Context, signals chan os.Signal, log *slog.Logger, owed func() int, reload func() error) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				log.Info("stopping", "signal", s.String(), "owed", owed())
+				return
+			}
+			if err := reload(); err != nil {
+				// A file that is half written or wrong must not take a sidecar down that serves.
+				log.Error("the configuration is not taken, the old one stays", "error", strings.ReplaceAll(err.Error(), "\n", "; "))
+			}
+		}
+	}
+}
+
 // limit fits the runtime to the machine's part that the sidecar may use.
 func limit(c *Config) {
 	runtime.GOMAXPROCS(max(1, int(c.Cores+0.5)))
--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -25,6 +25,7 @@
 type Error struct {
 	Status int
 	Why    string
+	Allow  string // 405: the methods that are taken
 }
 
 func (e *Error) Error() string { return e.Why }
@@ -47,6 +48,16 @@
 	return code
 }
 
+// Origin turns the target of a request that is in absolute form into origin form, as destinations want it.
+func (m *Message) Origin() {
+	if _, rest, absolute := strings.Cut(m.Start[1], "://"); absolute && !strings.HasPrefix(m.Start[1], "/") {
+		m.Start[1] = "/"
+		if at := strings.IndexByte(rest, '/'); at >= 0 {
+			m.Start[1] = rest[at:]
+		}
+	}
+}
+
 // Machine takes the bytes of one message after another. The zero value reads requests.
 type Machine struct {
 	Answers bool         // it reads answers, not requests
--- a/internal/protocol/operation.go
+++ b/internal/protocol/operation.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -22,7 +23,7 @@
 // Class is what the protocol has to know of a class of requests.
 type Class struct {
 	Name     string
-	Method   string
+	Methods  []string
 	Deadline time.Duration // for operations that do not say how much time is left
 }
 
@@ -38,37 +39,75 @@
 // maxTimeLeft bounds what a client may ask for, so that no sum of times overflows.
 const maxTimeLeft = 24 * time.Hour
 
-// ReadOperation reads the figures of a request. What it refuses never reaches a destination.
+func find(classes []Class, name string) int {
+	return slices.IndexFunc(classes, func(c Class) bool { return c.Name == name })
+}
+
+// ReadOperation reads the figures of a request on the platform, whose class its path and field name. What it refuses
+// never reaches a destination.
 func ReadOperation(m *Message, classes []Class) (Operation, error) {
-	var op Operation
-	find := func(name string) int {
-		for i := range classes {
-			if classes[i].Name == name {
-				return i
-			}
-		}
-		return -1
-	}
 	path, _, _ := strings.Cut(m.Start[1], "?")
 	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	stated := m.Header[headerClass]
-	op.Class = find(first)
+	class := find(classes, first)
 	switch {
-	case len(stated) > 1 || len(stated) == 1 && find(stated[0]) < 0:
-		return op, bad(400, "unknown class in %s", headerClass)
-	case op.Class < 0 || !strings.HasPrefix(path, "/"):
-		return op, bad(404, "no such path")
+	case len(stated) > 1 || len(stated) == 1 && find(classes, stated[0]) < 0:
+		return Operation{}, bad(400, "unknown class in %s", headerClass)
+	case class < 0 || !strings.HasPrefix(path, "/"):
+		return Operation{}, bad(404, "no such path")
 	case len(stated) == 1 && stated[0] != first:
-		return op, bad(400, "path and %s name different classes", headerClass)
-	case m.Start[0] != classes[op.Class].Method:
-		return op, bad(405, "this class wants %s", classes[op.Class].Method)
+		return Operation{}, bad(400, "path and %s name different classes", headerClass)
+	case !slices.Contains(classes[class].Methods, m.Start[0]):
+		return Operation{}, wrongMethod("this class wants", classes[class].Methods)
 	case len(m.Header[headerID]) != 1 || m.Header[headerID][0] == "":
-		return op, bad(400, "a request names one %s", headerID)
-	case m.Start[0] == "GET" && len(m.Body) > 0: // a destination may take it for a further request
+		return Operation{}, bad(400, "a request names one %s", headerID)
+	}
+	return figures(m, class, classes[class].Deadline)
+}
+
+// Stated is the class that a request states, "" for none.
+func (m *Message) Stated() string { return m.Header.Get(headerClass) }
+
+// ReadRouted reads the figures of a request that a route has led to a pool with these classes. Where it states no class
+// it is of the class as, or where that is "" of the first that takes its method. It need not name an id.
+func ReadRouted(m *Message, classes []Class, as string) (Operation, error) {
+	stated, ids := m.Header[headerClass], m.Header[headerID]
+	if len(stated) == 1 {
+		as = stated[0]
+	}
+	class := find(classes, as)
+	if as == "" {
+		class = slices.IndexFunc(classes, func(c Class) bool { return slices.Contains(c.Methods, m.Start[0]) })
+	}
+	switch {
+	case len(stated) > 1 || class < 0 && as != "":
+		return Operation{}, bad(400, "unknown class in %s", headerClass)
+	case class < 0:
+		var all []string
+		for _, c := range classes {
+			all = append(all, c.Methods...)
+		}
+		slices.Sort(all)
+		return Operation{}, wrongMethod("this pool wants", slices.Compact(all))
+	case !slices.Contains(classes[class].Methods, m.Start[0]):
+		return Operation{}, wrongMethod("this class wants", classes[class].Methods)
+	case len(ids) > 1 || len(ids) == 1 && ids[0] == "":
+		return Operation{}, bad(400, "a request names one %s", headerID)
+	}
+	return figures(m, class, classes[class].Deadline)
+}
+
+func wrongMethod(who string, methods []string) *Error {
+	allow := strings.Join(methods, ", ")
+	return &Error{Status: 405, Why: who + " " + allow, Allow: allow}
+}
+
+// figures reads what a request says of itself beside its class.
+func figures(m *Message, class int, deadline time.Duration) (Operation, error) {
+	op := Operation{Class: class, ID: m.Header.Get(headerID), TimeLeft: deadline}
+	if m.Start[0] == "GET" && len(m.Body) > 0 { // a destination may take it for a further request
 		return op, bad(400, "a GET has no body")
 	}
-	op.ID = m.Header[headerID][0]
-	op.TimeLeft = classes[op.Class].Deadline
 	if v, given := m.Header[headerTimeLeft]; given {
 		ms, err := strconv.ParseUint(v[0], 10, 53)
 		if err != nil || len(v) > 1 {
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"net/textproto"
 	"os"
 	"slices"
 	"strings"
@@ -101,8 +102,9 @@
 			out[0].Header.Get(headerTimeLeft) != "1500" || out[0].Header.Get(headerFacts) != "a=1,b=2" {
 			t.Fatalf("%v %+v", err, out)
 		}
+		in[0].Start = rapid.SampledFrom([][3]string{{"HTTP/1.1", "200", "OK"}, {"HTTP/1.1", "418", "I'm a teapot"}}).Draw(t, "start")
 		answer, err := feed(&Machine{Answers: true}, ServedHead(in[0], true), in[0].Body)
-		if err != nil || answer[0].Status() != 200 || !answer[0].Close || !bytes.Equal(answer[0].Body, body) {
+		if err != nil || answer[0].Start != in[0].Start || !answer[0].Close || !bytes.Equal(answer[0].Body, body) {
 			t.Fatalf("%v %+v", err, answer)
 		}
 	})
@@ -133,7 +135,45 @@
 	})
 }
 
-var classes = []Class{{"look", "GET", 6 * time.Second}, {"pay", "POST", 3 * time.Second}}
+// A request that a route has led somewhere is of the class that it states, that of the route, or the first that takes it.
+func TestReadRouted(t *testing.T) {
+	get := func(method string, fields ...string) *Message {
+		m := &Message{Start: [3]string{method, "/x", "HTTP/1.1"}, Header: textproto.MIMEHeader{}}
+		for i := 0; i < len(fields); i += 2 {
+			m.Header.Add(fields[i], fields[i+1])
+		}
+		return m
+	}
+	for _, c := range []struct {
+		m      *Message
+		as     string
+		class  int
+		status int
+		allow  string
+	}{
+		{get("GET"), "", 0, 0, ""},
+		{get("POST"), "", 1, 0, ""},
+		{get("POST"), "pay", 1, 0, ""},
+		{get("POST", headerClass, "pay"), "look", 1, 0, ""},
+		{get("GET", headerClass, "pay"), "look", 0, 405, "POST"},
+		{get("PUT"), "", 0, 405, "GET, POST"},
+		{get("GET", headerClass, "odd"), "", 0, 400, ""},
+		{get("GET", headerClass, "look", headerClass, "look"), "", 0, 400, ""},
+		{get("GET", headerID, "1", headerID, "1"), "", 0, 400, ""},
+		{get("GET", headerTimeLeft, "x"), "", 0, 400, ""},
+	} {
+		op, err := ReadRouted(c.m, classes, c.as)
+		var e *Error
+		if errors.As(err, &e); e == nil {
+			e = &Error{}
+		}
+		if e.Status != c.status || e.Allow != c.allow || err == nil && (op.Class != c.class || op.TimeLeft != classes[c.class].Deadline) {
+			t.Errorf("%v: %+v, %v", c, op, err)
+		}
+	}
+}
+
+var classes = []Class{{"look", []string{"GET"}, 6 * time.Second}, {"pay", []string{"POST"}, 3 * time.Second}}
 
 // status reads one request and returns the status of its refusal, or 200.
 func status(text string) int {
--- a/internal/protocol/write.go
+++ b/internal/protocol/write.go
@@ -47,7 +47,18 @@
 
 // ServedHead is the head of a destination's answer for the client. The body follows as it is.
 func ServedHead(m *Message, last bool) []byte {
-	b := appendFields([]byte("HTTP/1.1 200 OK\r\n"), m.Header)
+	status := m.Status()
+	why := reason(status)
+	if why == "Error" {
+		why = m.Start[2]
+	}
+	b := appendFields([]byte("HTTP/1.1 "+strconv.Itoa(status)+" "+why+"\r\n"), m.Header)
+	if status == 204 || status == 304 { // neither has a body, nor its length
+		if last {
+			b = append(b, "Connection: close\r\n"...)
+		}
+		return append(b, "\r\n"...)
+	}
 	return appendEnd(b, len(m.Body), last)
 }
 
--- a/internal/routing/interfaces.go
+++ b/internal/routing/interfaces.go
@@ -21,6 +21,7 @@
 	Done     func(Answer)  // takes the one final answer; it must not block
 	Key      string        // no two that are open share one; "" for none
 	Left     func() bool   // looks whether the client has left; nil if that cannot be told
+	Sent     func()        // told when the first attempt goes out; nil if nobody asks
 
 	next     []*Operation // wait for the attempts of this one, which has ended and has their key
 	id       balance.RequestID
--- a/internal/routing/loop.go
+++ b/internal/routing/loop.go
@@ -27,6 +27,8 @@
 	pending []func()    // what the Loop reports to itself: a Host may not call back
 	done    chan struct{}
 	owed    atomic.Int64 // operations without a final answer
+	began   atomic.Int64 // when the event began that runs, on the Loop's clock; 0 between events
+	named   atomic.Int64 // began of the event that was last logged as stuck
 
 	lastID balance.RequestID
 	ops    map[balance.RequestID]*Operation
@@ -75,6 +77,8 @@
 
 // handle runs one event and what it makes the Loop tell itself.
 func (l *Loop) handle(event func()) {
+	l.began.Store(int64(l.Now()))
+	defer l.began.Store(0)
 	l.guarded(event)
 	for len(l.pending) > 0 {
 		next := l.pending[0]
@@ -101,6 +105,24 @@
 	}
 }
 
+// postUntil hands the Loop an event as post does, and tells whether the Loop took it by a time of its clock.
+func (l *Loop) postUntil(event func(), until time.Duration) bool {
+	select {
+	case l.events <- event:
+		return true
+	default:
+	}
+	left := time.NewTimer(until - l.Now())
+	defer left.Stop()
+	select {
+	case l.events <- event:
+		return true
+	case <-left.C:
+	case <-l.done:
+	}
+	return false
+}
+
 // Owed tells how many operations have no final answer yet. Any goroutine may ask.
 func (l *Loop) Owed() int { return int(l.owed.Load()) }
 
--- a/internal/routing/operation.go
+++ b/internal/routing/operation.go
@@ -8,10 +8,15 @@
 	"kitewood/balance"
 )
 
-// Submit takes an operation, from any goroutine. Its Done gets one answer, unless Abandon comes first.
-func (l *Loop) Submit(op *Operation) {
+// Submit takes an operation, from any goroutine. Its Done gets one answer, unless Abandon comes first. A Loop that has
+// not taken it by its deadline never will: it tells so, and the operation reached no destination.
+func (l *Loop) Submit(op *Operation) bool {
 	l.owed.Add(1)
-	l.post(func() { l.admit(op) })
+	if l.postUntil(func() { l.admit(op) }, op.Deadline) {
+		return true
+	}
+	l.owed.Add(-1)
+	return false
 }
 
 // admit hands an operation to the module unless its key is in use: a destination knows requests by it, and two of them
@@ -47,7 +52,10 @@
 
 // Abandon says that the client of an operation has left, from any goroutine. Its Done may still be called.
 func (l *Loop) Abandon(op *Operation) {
-	l.post(func() { l.abandon(op) })
+	event := func() { l.abandon(op) }
+	if !l.postUntil(event, 0) {
+		go l.post(event) // the Loop is behind, and whoever calls owes a client an answer
+	}
 }
 
 func (l *Loop) abandon(op *Operation) {
@@ -116,6 +124,9 @@
 		l.pending = append(l.pending, func() { l.finish(a, server, Result{Err: &AttemptError{Waiting, errNotSent}}) })
 		return
 	}
+	if a.number == 0 && op.Sent != nil {
+		op.Sent()
+	}
 	l.carrier.Carry(a, func(r Result) { l.post(func() { l.finish(a, server, r) }) })
 }
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -281,3 +281,32 @@
 		}
 	}
 }
+
+// A Loop that is stuck in an event says where, once, and nothing waits behind it for longer than its deadline.
+func TestStuckLoop(t *testing.T) {
+	l, _ := start(t, limits)
+	var text bytes.Buffer
+	l.log = slog.New(slog.NewTextHandler(&text, nil))
+	hold, held := make(chan struct{}), make(chan struct{})
+	l.post(func() { close(held); <-hold })
+	<-held
+	if l.Stuck() {
+		t.Error("stuck at once")
+	}
+	time.Sleep(stuckAfter + 50*time.Millisecond)
+	if !l.Stuck() || !l.Stuck() || strings.Count(text.String(), "TestStuckLoop") != 1 {
+		t.Errorf("what it says of where it stands: %s", text.String())
+	}
+	for range cap(l.events) {
+		l.post(func() {})
+	}
+	late := &Operation{Deadline: l.Now() + 50*time.Millisecond}
+	if l.Submit(late) || l.Owed() != 0 {
+		t.Error("an operation was taken after its time")
+	}
+	l.Abandon(late) // does not wait
+	close(hold)
+	if sync(l); l.Stuck() {
+		t.Error("stuck for ever")
+	}
+}
--- a/internal/transport/budget.go
+++ b/internal/transport/budget.go
@@ -33,14 +33,24 @@
 	return b
 }
 
-// meter counts what is open of one part of the budget.
+// Room holds the descriptors that connections to destinations may take. Any goroutine may call it.
+type Room interface {
+	Take() bool // one, if there is one
+	Give()      // gives one back
+}
+
+// meter is the Room of a process with one pool.
 type meter struct {
 	mu   sync.Mutex
 	open int
 	most int
 }
 
-func (m *meter) take() bool {
+// NewRoom returns a Room for some connections.
+func NewRoom(most int) Room { return &meter{most: most} }
+
+// Take takes one. It implements Room.
+func (m *meter) Take() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.open >= m.most {
@@ -50,7 +60,8 @@
 	return true
 }
 
-func (m *meter) give() {
+// Give gives one back. It implements Room.
+func (m *meter) Give() {
 	m.mu.Lock()
 	m.open--
 	m.mu.Unlock()
--- a/internal/transport/destinations.go
+++ b/internal/transport/destinations.go
@@ -21,7 +21,8 @@
 	Clock          routing.Clock
 	ConnectTimeout time.Duration
 	IdleFor        time.Duration // a connection that has stood idle this long is closed
-	Most           int           // connections at a time
+	Room           Room          // connections at a time
+	PassErrors     bool          // answers of every status under 500 are the client's; otherwise those of 200 alone
 	Fields         []string      // of load reports, in the settings' words
 	ProbePath      string
 	Log            *slog.Logger
@@ -30,14 +31,14 @@
 // Destinations carries attempts over pooled connections. It implements routing.Carrier.
 type Destinations struct {
 	Options
-	meter meter
-	mu    sync.Mutex
-	idle  map[*routing.Destination][]*link // newest last
+	mu     sync.Mutex
+	closed bool
+	idle   map[*routing.Destination][]*link // newest last
 }
 
 // NewDestinations returns a Destinations without connections.
 func NewDestinations(o Options) *Destinations {
-	return &Destinations{Options: o, meter: meter{most: o.Most}, idle: map[*routing.Destination][]*link{}}
+	return &Destinations{Options: o, idle: map[*routing.Destination][]*link{}}
 }
 
 // probeTimeout is how long the answer to a probe is waited for.
@@ -111,8 +112,8 @@
 			return k, nil
 		}
 	}
-	for !u.meter.take() {
-		if !u.evict() {
+	for !u.Room.Take() {
+		if !u.Evict() {
 			return nil, errNoRoom
 		}
 	}
@@ -125,7 +126,7 @@
 	dialer := net.Dialer{Deadline: until, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", d.Address)
 	if err != nil {
-		u.meter.give()
+		u.Room.Give()
 		return nil, err
 	}
 	k := &link{home: u, to: d, conn: conn, machine: protocol.Machine{Answers: true}}
@@ -170,7 +171,7 @@
 	defer k.mu.Unlock()
 	switch {
 	case k.dead: // it ended before it came here
-	case k.to.Closed():
+	case k.to.Closed() || u.closed:
 		k.close()
 	default:
 		u.idle[k.to] = append(u.idle[k.to], k)
@@ -197,8 +198,17 @@
 	}
 }
 
-// evict closes the connection that has been idle longest, to make room.
-func (u *Destinations) evict() bool {
+// Close closes all idle connections. Others are closed when their attempts end.
+func (u *Destinations) Close() {
+	u.mu.Lock()
+	u.closed = true
+	u.mu.Unlock()
+	for u.Evict() {
+	}
+}
+
+// Evict closes the connection that has been idle longest, to make room, and tells whether there was one.
+func (u *Destinations) Evict() bool {
 	u.mu.Lock()
 	var oldest *link
 	for _, list := range u.idle {
@@ -226,7 +236,7 @@
 		r.Load = protocol.LoadReport(string(m.Body), u.Fields)
 	}
 	switch {
-	case m.Status() == 200:
+	case m.Status() == 200 || u.PassErrors && m.Status() < 500:
 		r.Status, r.Payload = balance.OK, m
 	case m.NotRun():
 		r.Status = balance.FullUp
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -16,10 +16,10 @@
 // Front is the front socket, which clients connect to. It is ready as soon as it serves: whatever clients send then
 // comes to the loop after the list that the sidecar started with.
 type Front struct {
-	loop    *routing.Loop
-	classes []protocol.Class
-	log     *slog.Logger
-	budget  Budget
+	clock  routing.Clock
+	find   atomic.Pointer[Directions]
+	log    *slog.Logger
+	budget Budget
 
 	draining atomic.Bool  // no longer ready
 	closing  atomic.Bool  // connections end with their next answer
@@ -30,14 +30,58 @@
 	changed  *sync.Cond // a connection has ended or become idle
 }
 
+// Service is a pool as the front socket sees it.
+type Service struct {
+	Loop   *routing.Loop
+	Gate   Gate          // nil lets everything in
+	Advice time.Duration // when to come back to a pool that is full or stuck, 0 for no advice
+}
+
+// Gate lets operations into a pool as far as its share of the process goes. Any goroutine may call it.
+type Gate interface {
+	// Enter takes room for an operation with a body of some bytes; ok is false where there is none.
+	Enter(body int) (pass Pass, ok bool)
+}
+
+// Pass is an operation's room in its pool.
+type Pass interface {
+	Sent()  // it waits for a destination no more
+	Leave() // it has its answer
+}
+
+// Directions find the service of a request and read its figures. An error is a *protocol.Error.
+type Directions func(*protocol.Message) (*Service, protocol.Operation, error)
+
+// OnePool leads all requests to one pool, by the platform's protocol.
+func OnePool(s *Service, classes []protocol.Class) Directions {
+	return func(m *protocol.Message) (*Service, protocol.Operation, error) {
+		op, err := protocol.ReadOperation(m, classes)
+		return s, op, err
+	}
+}
+
 // NewFront returns a Front that keeps to its part of a budget.
-func NewFront(loop *routing.Loop, classes []protocol.Class, budget Budget, log *slog.Logger) *Front {
-	f := &Front{loop: loop, classes: classes, budget: budget, log: log, conns: map[*frontConn]struct{}{}}
+func NewFront(clock routing.Clock, find Directions, budget Budget, log *slog.Logger) *Front {
+	f := &Front{clock: clock, budget: budget, log: log, conns: map[*frontConn]struct{}{}}
 	f.changed = sync.NewCond(&f.mu)
+	f.Lead(find)
 	return f
 }
 
-// Serve accepts connections until the listener closes.
+// Lead has requests that come from now on go by other directions.
+func (f *Front) Lead(find Directions) { f.find.Store(&find) }
+
+// Keep has the Front keep to another part of a budget. Connections beyond it end as they become idle.
+func (f *Front) Keep(budget Budget) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget = budget
+	for f.live > f.budget.Front && f.closeOne() {
+	}
+	f.changed.Broadcast()
+}
+
+// Serve accepts connections until the listener closes. Several listeners may be served at a time.
 func (f *Front) Serve(ln net.Listener) {
 	for {
 		f.room()
@@ -105,17 +149,19 @@
 // Stop serves on for two thirds of its time: clients keep the connections that they have, there may be no other sidecar
 // for them, and the next one starts no sooner for this one's end. Then it closes what is idle and waits until nothing
 // is owed. What comes meanwhile has no more time than is left.
-func (f *Front) Stop(ctx context.Context, ln net.Listener, within time.Duration) {
+func (f *Front) Stop(ctx context.Context, within time.Duration, lns ...net.Listener) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	f.until.Store(int64(f.loop.Now() + within - answerGrace))
+	f.until.Store(int64(f.clock.Now() + within - answerGrace))
 	f.draining.Store(true)
 	select {
 	case <-time.After(within * 2 / 3):
 	case <-ctx.Done():
 	}
 	f.closing.Store(true)
-	ln.Close()
+	for _, ln := range lns {
+		ln.Close()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	defer context.AfterFunc(ctx, f.changed.Broadcast)()
--- a/internal/transport/front_test.go
+++ b/internal/transport/front_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/textproto"
 	"slices"
 	"strings"
 	"testing"
@@ -47,9 +48,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	loop.Pool(balance.Cached, 1, []routing.Member{{Name: "s", Address: destination, State: balance.Ready}})
-	classes := []protocol.Class{{Name: "look", Method: "GET", Deadline: 2 * time.Second},
-		{Name: "pay", Method: "POST", Deadline: 2 * time.Second}}
-	f := NewFront(loop, classes, Budget{Front: most, Overflow: 2}, quiet)
+	classes := []protocol.Class{{Name: "look", Methods: []string{"GET"}, Deadline: 2 * time.Second},
+		{Name: "pay", Methods: []string{"POST"}, Deadline: 2 * time.Second}}
+	f := NewFront(clock, OnePool(&Service{Loop: loop}, classes), Budget{Front: most, Overflow: 2}, quiet)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -59,6 +60,16 @@
 	return f, ln, func() { go loop.Run(ctx, destinations(clock), NewDirectory(ctx, discovery, loop, quiet)) }
 }
 
+// leads is the Loop that a front socket takes operations to.
+func leads(t *testing.T, f *Front) *routing.Loop {
+	t.Helper()
+	to, _, err := (*f.find.Load())(&protocol.Message{Start: [3]string{"GET", "/look"}, Header: textproto.MIMEHeader{"X-Correlation-Id": {"1"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return to.Loop
+}
+
 func dial(t *testing.T, ln net.Listener) (net.Conn, *bufio.Reader) {
 	t.Helper()
 	c, err := net.Dial("tcp", ln.Addr().String())
@@ -212,7 +223,7 @@
 	ended := make(chan struct{})
 	go func() { c.serve(); close(ended) }()
 	io.WriteString(there, look)
-	if <-ended; len(came) > 0 || f.loop.Owed() > 0 {
+	if <-ended; len(came) > 0 || leads(t, f).Owed() > 0 {
 		t.Error("the request was taken")
 	}
 }
@@ -295,15 +306,14 @@
 func TestPanics(t *testing.T) {
 	f, _ := sidecar(t, 4, server(t, echo))
 	answers := make(chan routing.Answer, 1)
-	f.loop.Submit(&routing.Operation{Deadline: f.loop.Now() + time.Minute, Payload: "no message",
+	loop := leads(t, f)
+	loop.Submit(&routing.Operation{Deadline: loop.Now() + time.Minute, Payload: "no message",
 		Done: func(a routing.Answer) { answers <- a }})
 	if a := <-answers; a.Verdict == routing.Served {
 		t.Errorf("answered %+v", a)
 	}
 	f, ln := sidecar(t, 4, server(t, echo))
-	f.mu.Lock()
-	f.loop = nil
-	f.mu.Unlock()
+	f.Lead(func(*protocol.Message) (*Service, protocol.Operation, error) { panic("odd") })
 	for _, c := range []struct{ text, want string }{{look, "500"}, {"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n", "200"}} {
 		conn, r := dial(t, ln)
 		io.WriteString(conn, c.text)
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -37,6 +37,7 @@
 	gone  bool      // closed to make room, or because the sidecar stops
 
 	op     *routing.Operation // out, nil for none
+	loop   *routing.Loop      // that op is out in
 	answer chan routing.Answer
 }
 
@@ -152,25 +153,34 @@
 		}
 		return c.reply(r, last())
 	}
-	figures, err := protocol.ReadOperation(m, c.front.classes)
+	to, figures, err := (*c.front.find.Load())(m)
 	if err != nil {
 		var e *protocol.Error
 		errors.As(err, &e)
-		r := protocol.Reply{Status: e.Status, Why: e.Why}
-		if e.Status == 405 {
-			r.Allow = c.front.classes[figures.Class].Method
-		}
-		return c.reply(r, last())
+		return c.reply(protocol.Reply{Status: e.Status, Why: e.Why, Allow: e.Allow}, last())
 	}
 	if c.beyond {
 		return c.reply(protocol.Reply{Status: 503, Why: "busy: too many connections"}, true)
 	}
-	return c.operate(m, figures, buf, last)
+	return c.operate(m, to, figures, buf, last)
 }
 
 // operate has an operation carried out and answers it.
-func (c *frontConn) operate(m *protocol.Message, figures protocol.Operation, buf []byte, last func() bool) bool {
-	loop := c.front.loop
+func (c *frontConn) operate(m *protocol.Message, to *Service, figures protocol.Operation, buf []byte, last func() bool) bool {
+	loop := to.Loop
+	busy := protocol.Reply{Status: 503, RetryAfter: to.Advice, Why: "busy"}
+	if loop.Stuck() {
+		return c.reply(busy, last())
+	}
+	sent := func() {}
+	if to.Gate != nil {
+		pass, ok := to.Gate.Enter(len(m.Body))
+		if !ok {
+			return c.reply(busy, last())
+		}
+		defer pass.Leave()
+		sent = pass.Sent
+	}
 	answer := make(chan routing.Answer, 1)
 	c.answer = answer
 	deadline := loop.Now() + figures.TimeLeft
@@ -178,13 +188,16 @@
 		deadline = min(deadline, time.Duration(c.front.until.Load()))
 	}
 	op := &routing.Operation{Class: figures.Class, Deadline: deadline, Hint: figures.Hint,
-		Repeat: figures.Repeat, Payload: m, Key: figures.ID, Left: func() bool { return peek(c.conn) == broken }}
+		Repeat: figures.Repeat, Payload: m, Key: figures.ID, Sent: sent, Left: func() bool { return peek(c.conn) == broken }}
 	op.Done = func(a routing.Answer) {
 		answer <- a                             // not c.answer: a late answer must not reach the next operation
 		c.conn.SetReadDeadline(time.Unix(1, 0)) // wakes the read in wait
 	}
-	c.op = op
-	loop.Submit(op)
+	c.op, c.loop = op, loop
+	if !loop.Submit(op) {
+		c.op = nil
+		return c.reply(busy, last())
+	}
 	a, here := c.wait(buf)
 	c.op = nil
 	if !here {
@@ -208,7 +221,7 @@
 // wait reads on until the answer is there, or tells that the client has left. Where the time is up and no answer has
 // come, the operation has failed.
 func (c *frontConn) wait(buf []byte) (routing.Answer, bool) {
-	until := c.front.loop.At(c.op.Deadline + answerGrace)
+	until := c.loop.At(c.op.Deadline + answerGrace)
 	for time.Now().Before(until) {
 		if len(c.ahead) >= maxAhead { // the client sends far ahead: its leaving will show when the answer is written
 			select {
@@ -236,7 +249,7 @@
 			}
 		}
 	}
-	c.front.loop.Abandon(c.op)
+	c.loop.Abandon(c.op)
 	select {
 	case a := <-c.answer:
 		return a, true
@@ -288,7 +301,7 @@
 	if p := recover(); p != nil {
 		c.front.log.Error("panic at a front connection", "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
 		if c.op != nil {
-			c.front.loop.Abandon(c.op)
+			c.loop.Abandon(c.op)
 		}
 		c.reply(protocol.Reply{Status: 500, Why: "failed"}, true)
 	}
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -203,7 +203,7 @@
 	k.dead = true
 	k.once.Do(func() {
 		k.conn.Close()
-		k.home.meter.give()
+		k.home.Room.Give()
 	})
 }
 
--- a/internal/transport/main_test.go
+++ b/internal/transport/main_test.go
@@ -53,7 +53,7 @@
 }
 
 func destinations(clock routing.Clock) *Destinations {
-	return NewDestinations(Options{Clock: clock, ConnectTimeout: time.Second, IdleFor: time.Minute, Most: 4, Log: quiet})
+	return NewDestinations(Options{Clock: clock, ConnectTimeout: time.Second, IdleFor: time.Minute, Room: NewRoom(4), Log: quiet})
 }
 
 // probe runs one exchange and returns how it ended.
