--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -26,6 +26,7 @@
 	Recorder *Recorder
 	Tracer   *Tracer // records what goes out; nil for none
 	Progress func(Progress)
+	Each     func(Item, Outcome) // takes every outcome, from any goroutine; nil if nobody asks
 }
 
 // Progress is how a load run stands.
@@ -155,8 +156,12 @@
 	text := httpc.Text(j.item.Method, j.item.Target, g.target.Host, j.item.Body, fields...)
 	sent := time.Now()
 	r := g.pool.Do("", j.item.Method, text, sent.Add(g.o.Timeout))
-	g.o.Recorder.Add(Outcome{Intended: j.at, Sent: sent.Sub(g.start), Ended: r.Ended.Sub(g.start), Status: r.Status,
-		TimedOut: r.TimedOut, New: r.New})
+	out := Outcome{Intended: j.at, Sent: sent.Sub(g.start), Ended: r.Ended.Sub(g.start), Status: r.Status, TimedOut: r.TimedOut,
+		New: r.New}
+	g.o.Recorder.Add(out)
+	if g.o.Each != nil {
+		g.o.Each(j.item, out)
+	}
 }
 
 func progress(o Options, start time.Time) (stop func()) {
