Admin socket and 'kitewood pools': the live state of pools, limits and destinations

Need: who borrows what, what is held off and why can only be seen in the process.

A take from a shared limit costs the same with one pool and a thousand.

--- a/cmd/kitewood/main.go
+++ b/cmd/kitewood/main.go
@@ -55,7 +55,7 @@
 				Flags: []cli.Flag{configFlag()},
 				Action: func(_ context.Context, c *cli.Command) error {
 					if path := c.String("config"); path != "" {
-						return program.CheckFile(path, c.Root().Writer)
+						return oneLine(program.CheckFile(path, c.Root().Writer))
 					}
 					config, err := program.Load(os.Getenv)
 					if err != nil {
@@ -66,6 +66,17 @@
 					return nil
 				},
 			},
+			{
+				Name:  "pools",
+				Usage: "show the pools of the process that serves a --config, from its admin socket",
+				Flags: []cli.Flag{configFlag(), &cli.BoolFlag{Name: "json", Usage: "print JSON"}},
+				Action: func(_ context.Context, c *cli.Command) error {
+					if c.String("config") == "" {
+						return errors.New("pools: --config names the configuration of the process")
+					}
+					return oneLine(program.ShowPools(c.String("config"), c.Bool("json"), c.Root().Writer))
+				},
+			},
 			{
 				Name:  "version",
 				Usage: "print the version",
--- a/internal/pools/pool.go
+++ b/internal/pools/pool.go
@@ -13,7 +13,8 @@
 
 // pool is one service.
 type pool struct {
-	conf         config.Pool
+	name         string
+	conf         config.Pool // as last applied; under Set.mu
 	ctx          context.Context
 	cancel       context.CancelFunc
 	loop         *routing.Loop
@@ -38,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &pool{conf: *conf, loop: loop}
+	p := &pool{name: conf.Name, conf: *conf, loop: loop}
 	p.ctx, p.cancel = context.WithCancel(s.ctx)
 	switch m := conf.Members; {
 	case m.Discovery != "":
--- a/internal/pools/pools_test.go
+++ b/internal/pools/pools_test.go
@@ -255,3 +255,40 @@
 		t.Errorf("after %d spare ones a gets the one that b left idle, and no more", n)
 	}
 }
+
+// The admin socket shows pools, limits and destinations of the live process, also while a pool is stuck or being retired.
+func TestAdminSocket(t *testing.T) {
+	thaw := make(chan struct{})
+	a, b := serve(t, "a", thaw), serve(t, "b", nil)
+	only := "pools:\n" + entry("b", "2s", "") + "routes: [{path: /b, pool: b}]\n"
+	p := start(t, map[string]*service{"a": a, "b": b}, "pools:\n"+entry("a", "3s", "")+entry("b", "2s", "")+"routes: [{path: /a, pool: a}]\n")
+	path := filepath.Join(p.dir, "admin.sock")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := p.Admin(ctx, path); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Admin(ctx, path); err == nil {
+		t.Error("a socket that is in use was taken")
+	}
+	answered := make(chan int, 1)
+	go func() { status, _, _ := p.ask("x", "/a"); answered <- status }()
+	until(t, "the operation is at its destination", func() bool { return a.open.Load() == 1 })
+	s, err := Ask(path)
+	if err != nil || len(s.Pools) != 2 || s.Pools[0].Name != "a" || s.Pools[0].Open != 1 || s.Pools[0].Destinations[0].InFlight != 1 ||
+		s.Pools[0].Destinations[0].State != "ready" || s.Pools[0].Shares["operations"].Used != 1 || s.Limits["operations"].Used != 1 {
+		t.Errorf("%+v, %v", s, err)
+	}
+	if err := p.take(only); err != nil {
+		t.Fatal(err)
+	}
+	if s, err := Ask(path); err != nil || !s.Pools[0].Retired || s.Pools[0].Open != 1 || s.Pools[1].Retired {
+		t.Errorf("%+v, %v", s, err)
+	}
+	close(thaw)
+	if status := <-answered; status != 200 {
+		t.Errorf("answered %d", status)
+	}
+	cancel()
+	until(t, "the socket is closed", func() bool { _, err := Ask(path); return err != nil })
+}
--- /dev/null
+++ b/internal/pools/status.go
@@ -0,0 +1,140 @@
+package pools
+
+import (
+	"maps"
+	"runtime"
+	"slices"
+	"time"
+
+	"kitewood/balance"
+	"kitewood/internal/routing"
+)
+
+// Status is what the admin socket shows. It changes nothing.
+type Status struct {
+	Name       string           `json:"name"`
+	Goroutines int              `json:"goroutines"`
+	MemoryKB   int              `json:"memory_kb"` // held by the runtime
+	Limits     map[string]Limit `json:"limits"`    // by the key in shares
+	Pools      []PoolStatus     `json:"pools"`
+	Listeners  []string         `json:"listeners"`
+}
+
+// Limit is one limit of the process.
+type Limit struct {
+	Whole int `json:"whole"`
+	Used  int `json:"used"`
+}
+
+// PoolStatus is one pool.
+type PoolStatus struct {
+	Name         string              `json:"name"`
+	Retired      bool                `json:"retired,omitempty"` // it takes nothing new and ends what is open
+	Stuck        bool                `json:"stuck,omitempty"`   // its loop did not answer
+	Index        int64               `json:"index"`             // of its last list
+	Open         int                 `json:"open"`
+	Parked       int                 `json:"parked"`
+	Shares       map[string]Use      `json:"shares,omitempty"`
+	Destinations []DestinationStatus `json:"destinations"`
+}
+
+// Use is what a pool holds of a limit. Borrowed units are a part of those used.
+type Use struct {
+	Guaranteed int `json:"guaranteed"`
+	Most       int `json:"most,omitempty"`
+	Used       int `json:"used"`
+	Borrowed   int `json:"borrowed"`
+}
+
+// DestinationStatus is one destination.
+type DestinationStatus struct {
+	Name        string  `json:"name"`
+	Address     string  `json:"address"`
+	State       string  `json:"state"` // ready, draining, ejected, trial, untracked
+	Weight      float64 `json:"weight"`
+	Utilisation float64 `json:"utilisation"`
+	Failed      float64 `json:"failed"`
+	InFlight    int     `json:"in_flight"`
+	HeldOffMS   int64   `json:"held_off_ms,omitempty"`
+}
+
+// viewWithin is how long a pool's loop may take to say what it knows.
+const viewWithin = 500 * time.Millisecond
+
+// Status asks every pool at once, so that those that are stuck cost half a second in all.
+func (s *Set) Status() Status {
+	s.mu.Lock()
+	all := slices.Collect(maps.Values(s.pools))
+	live := len(all)
+	all = append(all, slices.Collect(maps.Keys(s.retired))...)
+	out := Status{Name: s.file.Name, Goroutines: runtime.NumGoroutine(), Limits: map[string]Limit{},
+		Listeners: slices.Sorted(maps.Keys(s.listeners))}
+	s.mu.Unlock()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	out.MemoryKB = int((memory.Sys - memory.HeapReleased) >> 10)
+	out.Pools = make([]PoolStatus, len(all))
+	done := make(chan struct{}, len(all))
+	for i, p := range all {
+		go func() {
+			out.Pools[i] = p.status(i >= live)
+			done <- struct{}{}
+		}()
+	}
+	for range all {
+		<-done
+	}
+	for key := range s.limits.all {
+		whole, used, uses := s.limits.uses(key)
+		out.Limits[key] = Limit{whole, used}
+		for i, p := range all[:live] {
+			if u, there := uses[p.name]; there {
+				if out.Pools[i].Shares == nil {
+					out.Pools[i].Shares = map[string]Use{}
+				}
+				out.Pools[i].Shares[key] = Use{u.Guaranteed, u.Most, u.Used, u.Borrowed}
+			}
+		}
+	}
+	slices.SortStableFunc(out.Pools, func(a, b PoolStatus) int {
+		if a.Name < b.Name {
+			return -1
+		} else if a.Name > b.Name {
+			return 1
+		}
+		return 0
+	})
+	return out
+}
+
+func (p *pool) status(retired bool) PoolStatus {
+	out := PoolStatus{Name: p.name, Retired: retired, Destinations: []DestinationStatus{}}
+	v, ok := p.loop.View(viewWithin)
+	if out.Stuck = !ok; out.Stuck {
+		out.Open = p.loop.Owed()
+		return out
+	}
+	out.Index, out.Open, out.Parked = v.Index, v.Open, v.Parked
+	for _, d := range v.Destinations {
+		out.Destinations = append(out.Destinations, DestinationStatus{Name: d.Name, Address: d.Address, State: state(d), Weight: d.Weight,
+			Utilisation: d.Utilisation, Failed: d.Failed, InFlight: d.Out, HeldOffMS: d.HeldOff.Milliseconds()})
+	}
+	return out
+}
+
+// state is a destination's state in one word.
+func state(d routing.DestinationView) string {
+	switch {
+	case d.State == balance.Draining:
+		return "draining"
+	case d.HeldOff > 0 && d.Trial:
+		return "ejected"
+	case d.HeldOff > 0:
+		return "held off"
+	case d.Trial:
+		return "trial"
+	case !d.Tracked:
+		return "untracked"
+	}
+	return "ready"
+}
--- a/internal/program/file.go
+++ b/internal/program/file.go
@@ -2,9 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"os/signal"
+	"slices"
+	"strconv"
+	"text/tabwriter"
 
 	"github.com/goccy/go-yaml"
 
@@ -27,6 +33,11 @@
 	if err := set.Apply(f); err != nil {
 		return err
 	}
+	if f.Admin != "" {
+		if err := set.Admin(ctx, f.Admin); err != nil {
+			return fmt.Errorf("admin: %w", err)
+		}
+	}
 	log.Info("serving", "name", f.Name, "listeners", len(f.Listeners), "pools", len(f.Pools), "routes", len(f.Routes))
 	untilStopped(ctx, signals, log, set.Owed, func() error {
 		next, err := config.Load(path)
@@ -57,3 +68,63 @@
 	_, err = out.Write(text)
 	return err
 }
+
+// ShowPools writes what the process of a configuration file is at, from its admin socket.
+func ShowPools(path string, asJSON bool, out io.Writer) error {
+	f, err := config.Load(path)
+	if err != nil {
+		return err
+	}
+	if f.Admin == "" {
+		return fmt.Errorf("%s: admin is not set: the process shows nothing", path)
+	}
+	status, err := pools.Ask(f.Admin)
+	if err != nil {
+		return fmt.Errorf("admin: %w", err)
+	}
+	if asJSON {
+		e := json.NewEncoder(out)
+		e.SetIndent("", "  ")
+		return e.Encode(status)
+	}
+	return table(out, status)
+}
+
+// table writes a status for people.
+func table(out io.Writer, s pools.Status) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "%s\t%d pools\t%d goroutines\t%d KB\n\n", s.Name, len(s.Pools), s.Goroutines, s.MemoryKB)
+	fmt.Fprintln(w, "POOL\tSTATE\tOPEN\tPARKED\tLIMIT\tUSED\tGUARANTEED\tMOST\tBORROWED")
+	for _, p := range s.Pools {
+		state := "serving"
+		switch {
+		case p.Stuck:
+			state = "stuck"
+		case p.Retired:
+			state = "retired"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t\t\t\t\t\n", p.Name, state, p.Open, p.Parked)
+		for _, key := range slices.Sorted(maps.Keys(p.Shares)) {
+			u := p.Shares[key]
+			most := "-"
+			if u.Most > 0 {
+				most = strconv.Itoa(u.Most)
+			}
+			fmt.Fprintf(w, "\t\t\t\t%s\t%d\t%d\t%s\t%d\n", key, u.Used, u.Guaranteed, most, u.Borrowed)
+		}
+	}
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "LIMIT\tUSED\tWHOLE")
+	for _, key := range slices.Sorted(maps.Keys(s.Limits)) {
+		fmt.Fprintf(w, "%s\t%d\t%d\n", key, s.Limits[key].Used, s.Limits[key].Whole)
+	}
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "DESTINATION\tPOOL\tADDRESS\tSTATE\tWEIGHT\tUTILISATION\tFAILED\tIN FLIGHT\tHELD OFF")
+	for _, p := range s.Pools {
+		for _, d := range p.Destinations {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.2f\t%.2f\t%.2f\t%d\t%dms\n", d.Name, p.Name, d.Address, d.State, d.Weight, d.Utilisation, d.Failed,
+				d.InFlight, d.HeldOffMS)
+		}
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/routing/view.go
@@ -0,0 +1,52 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"kitewood/balance"
+)
+
+// View is what a Loop knows at a moment.
+type View struct {
+	Index        int64 // of the last pool config
+	Open, Parked int   // operations
+	Destinations []DestinationView
+}
+
+// DestinationView is a destination with what the module knows of it.
+type DestinationView struct {
+	Name, Address string
+	balance.ServerView
+}
+
+// View asks the Loop for what it knows, and tells whether it answered within a time.
+func (l *Loop) View(within time.Duration) (View, bool) {
+	answer := make(chan View, 1)
+	until := l.Now() + within
+	if !l.postUntil(func() { answer <- l.view() }, until) {
+		return View{}, false
+	}
+	left := time.NewTimer(until - l.Now())
+	defer left.Stop()
+	select {
+	case v := <-answer:
+		return v, true
+	case <-left.C:
+	case <-l.done:
+	}
+	return View{}, false
+}
+
+func (l *Loop) view() View {
+	servers, open, parked := l.balancer.View(l.Now())
+	v := View{Index: l.pool.index, Open: open, Parked: parked}
+	for _, s := range servers {
+		if d := l.pool.byID[s.ID]; d != nil {
+			v.Destinations = append(v.Destinations, DestinationView{d.Name, d.Address, s})
+		}
+	}
+	slices.SortFunc(v.Destinations, func(x, y DestinationView) int { return cmp.Compare(x.Name, y.Name) })
+	return v
+}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -25,10 +25,12 @@
 
 // Limit is one limit and what pools hold of it.
 type Limit struct {
-	whole int
-	used  int
-	pools map[string]*pool
-	asked uint64 // claims so far
+	whole   int
+	used    int
+	idle    int // of the guaranteed parts
+	pools   map[string]*pool
+	claimed map[*pool]bool // those with a claim: few, where pools are many
+	asked   uint64         // claims so far
 }
 
 type pool struct {
@@ -47,7 +49,7 @@
 
 // New divides a limit of some units. See Set for its errors.
 func New(whole int, parts map[string]Part) (*Limit, error) {
-	l := &Limit{pools: map[string]*pool{}}
+	l := &Limit{pools: map[string]*pool{}, claimed: map[*pool]bool{}}
 	return l, l.Set(whole, parts)
 }
 
@@ -68,6 +70,7 @@
 		return fmt.Errorf("the guaranteed parts add up to %d of %d", sum, whole)
 	}
 	l.whole = whole
+	clear(l.claimed)
 	for name, p := range l.pools {
 		if _, named := parts[name]; !named {
 			p.Part, p.gone, p.claim = Part{}, true, claim{}
@@ -82,9 +85,24 @@
 		}
 		p.Part, p.gone, p.claim = part, false, claim{}
 	}
+	l.idle = 0
+	for _, p := range l.pools {
+		l.idle += p.idle()
+	}
 	return nil
 }
 
+// idle is what the pool leaves of its guaranteed part.
+func (p *pool) idle() int { return max(p.Guaranteed-p.used, 0) }
+
+// hold changes what a pool holds.
+func (l *Limit) hold(p *pool, units int) {
+	l.idle -= p.idle()
+	p.used += units
+	l.used += units
+	l.idle += p.idle()
+}
+
 func (l *Limit) forget(name string, p *pool) {
 	if p.gone && p.used == 0 {
 		delete(l.pools, name)
@@ -100,8 +118,12 @@
 	}
 	free := l.whole - l.used
 	owed := p.used+units <= p.Guaranteed
-	for _, o := range l.pools {
-		if o == p || o.claim.units == 0 || o.claim.until <= now {
+	for o := range l.claimed {
+		if o.claim.until <= now {
+			o.claim = claim{}
+			delete(l.claimed, o)
+		}
+		if o == p {
 			continue
 		}
 		// Those that asked for their own before go first; a borrower comes after all.
@@ -109,44 +131,34 @@
 			free -= o.claim.units
 		}
 	}
-	if !owed {
-		free -= l.spare(p)
+	if !owed { // what borrowers leave free is no more than the others could claim
+		free -= min(l.idle-p.idle(), (l.whole+spareShare-1)/spareShare)
 	}
 	if units <= free {
-		p.used += units
-		l.used += units
-		p.claim.units = max(p.claim.units-units, 0)
+		l.hold(p, units)
+		if p.claim.units = max(p.claim.units-units, 0); p.claim.units == 0 {
+			delete(l.claimed, p)
+		}
 		return true
 	}
 	if owed {
-		if p.claim.units == 0 || p.claim.until <= now {
+		if p.claim.units == 0 {
 			l.asked++
 			p.claim = claim{order: l.asked}
+			l.claimed[p] = true
 		}
 		p.claim.units, p.claim.until = max(p.claim.units, units), now+claimFor
 	}
 	return false
 }
 
-// spare is what a borrower leaves free: no more than the others could claim.
-func (l *Limit) spare(borrower *pool) int {
-	idle := 0
-	for _, o := range l.pools {
-		if o != borrower {
-			idle += max(o.Guaranteed-o.used, 0)
-		}
-	}
-	return min(idle, (l.whole+spareShare-1)/spareShare)
-}
-
 // Give gives units back.
 func (l *Limit) Give(name string, units int) {
 	p := l.pools[name]
 	if p == nil || units > p.used || units < 0 {
 		panic(fmt.Sprintf("share: pool %q gives back %d units that it does not hold", name, units))
 	}
-	p.used -= units
-	l.used -= units
+	l.hold(p, -units)
 	l.forget(name, p)
 }
 
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -210,3 +210,23 @@
 		}
 	}
 }
+
+// What a take costs does not grow with the pools.
+func BenchmarkTake(b *testing.B) {
+	for _, n := range []int{1, 1000} {
+		parts := map[string]Part{}
+		for i := range n {
+			parts[fmt.Sprint(i)] = Part{Guaranteed: 2}
+		}
+		l, err := New(4*n, parts)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for range b.N {
+				l.Take(0, "0", 1)
+				l.Give("0", 1)
+			}
+		})
+	}
+}
