--- a/cmd/kitewood-lab/main.go
+++ b/cmd/kitewood-lab/main.go
@@ -40,7 +40,7 @@
 			&cli.StringFlag{Name: "kitewood", Usage: "the sidecar's program (default: kitewood beside this program)"},
 		},
 		Commands: []*cli.Command{demoCommand(), runCommand(), emulateCommand(), checkCommand(), listCommand(), loadCommand(), recordCommand(),
-			replayCommand(), drillCommand(), compareCommand(), countCommand(), reportCommand()},
+			replayCommand(), drillCommand(), poolsCommand(), compareCommand(), countCommand(), reportCommand()},
 	}
 }
 
--- /dev/null
+++ b/cmd/kitewood-lab/pools.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/urfave/cli/v3"
+
+	"kitewood/internal/lab/services"
+	"kitewood/scenarios"
+)
+
+// poolsCommand plays a day of one process with several pools.
+func poolsCommand() *cli.Command {
+	return &cli.Command{
+		Name: "pools", Usage: "play a scenario of one process that fronts several pools", ArgsUsage: "SCENARIO | list",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "of the arrivals"},
+			&cli.DurationFlag{Name: "duration", Usage: "play so long instead of the scenario's duration; its troubles keep their times"},
+			&cli.BoolFlag{Name: "json", Usage: "print one JSON object"},
+			&cli.StringFlag{Name: "out", Usage: "keep configuration, lists and log in this folder"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			name, err := one(c, "pools SCENARIO (or list)")
+			if err != nil {
+				return err
+			}
+			w := c.Root().Writer
+			if name == "list" {
+				for _, n := range scenarios.PoolNames() {
+					s, err := findPools(n)
+					if err != nil {
+						return err
+					}
+					fmt.Fprintf(w, "%-18s %s\n", n, s.About)
+				}
+				return nil
+			}
+			o := services.Options{Seed: c.Uint64("seed"), Dir: c.String("out")}
+			if o.Scenario, err = findPools(name); err != nil {
+				return err
+			}
+			if d := c.Duration("duration"); d > 0 {
+				o.Scenario.Duration = services.Duration(d)
+			}
+			var release func()
+			if o.Binary, release, err = sidecarProgram(ctx, c); err != nil {
+				return err
+			}
+			defer release()
+			if o.Dir == "" {
+				if o.Dir, err = os.MkdirTemp("", "kitewood-pools-"); err != nil {
+					return err
+				}
+				defer os.RemoveAll(o.Dir)
+			} else if err := os.MkdirAll(o.Dir, 0o755); err != nil {
+				return err
+			}
+			if o.Dir, err = filepath.Abs(o.Dir); err != nil {
+				return err
+			}
+			r, err := services.Play(ctx, o)
+			if err != nil {
+				return err
+			}
+			broken := showPools(c, r)
+			switch {
+			case !r.Clean:
+				return fmt.Errorf("pools: the process did not end cleanly: %s", r.Note)
+			case broken > 0:
+				return fmt.Errorf("pools: %d broken rules", broken)
+			}
+			return nil
+		},
+	}
+}
+
+// showPools prints a result and tells how many rules were broken: requests without an answer, unsafe operations that came
+// twice, and copies out at once.
+func showPools(c *cli.Command, r *services.Result) (broken int) {
+	for _, p := range r.Pools {
+		broken += p.Status["none"] + p.Copies
+		if p.Unsafe {
+			broken += p.Again
+		}
+	}
+	w := c.Root().Writer
+	if c.Bool("json") {
+		json.NewEncoder(w).Encode(map[string]any{"pools": r.Pools, "broken": broken, "clean": r.Clean})
+		return broken
+	}
+	t := newTable(w, "pool", "requests", "in time", "busy", "failed", "other", "no answer", "p50 ms", "p99 ms", "longest s", "came again", "copies")
+	for _, p := range r.Pools {
+		s := p.Summary
+		other := s.Intended - s.OK - p.Status["503"] - p.Status["502"] - p.Status["none"]
+		t.AppendRow([]any{p.Name, s.Intended, fmt.Sprintf("%.4f", p.Share()), p.Status["503"], p.Status["502"], other, p.Status["none"],
+			fmt.Sprintf("%.1f", s.Latency.P50), fmt.Sprintf("%.1f", s.Latency.P99), fmt.Sprintf("%.2f", p.Longest.Seconds()), p.Again, p.Copies})
+	}
+	t.Render()
+	return broken
+}
+
+// findPools reads a scenario by its path, or by the name of one that ships.
+func findPools(name string) (*services.Scenario, error) {
+	file, text, err := scenarios.Find(name)
+	if err != nil {
+		var shipped error
+		if file, text, shipped = scenarios.Find("pools/" + name); shipped != nil {
+			return nil, fmt.Errorf("no scenario %s: kitewood-lab pools list names those that ship", name)
+		}
+	}
+	return services.Read(file, text)
+}
--- /dev/null
+++ b/internal/lab/services/services_test.go
@@ -0,0 +1,86 @@
+package services
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"kitewood/scenarios"
+)
+
+// The ledger of a service catches an operation that comes again, and one whose copies are out at once; one that was called
+// off before it came again is no copy.
+func TestLedgerOfAService(t *testing.T) {
+	s, err := newService(Pool{Name: "a", Destinations: 2, Delay: Duration(10 * overlap)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.close()
+	ask := func(at int, id string, client *http.Client) {
+		r, _ := http.NewRequest("GET", "http://"+s.addrs[at]+"/x", nil)
+		r.Header.Set("X-Correlation-Id", id)
+		if a, err := client.Do(r); err == nil {
+			io.Copy(io.Discard, a.Body)
+			a.Body.Close()
+		}
+	}
+	want := func(again, copies int) {
+		t.Helper()
+		if a, c := s.broken(); a != again || c != copies {
+			t.Errorf("%d came again, %d copies; want %d, %d", a, c, again, copies)
+		}
+	}
+	ask(0, "1", http.DefaultClient)
+	ask(1, "2", http.DefaultClient)
+	want(0, 0)
+	ask(1, "1", http.DefaultClient)
+	want(1, 0)
+	ask(0, "3", &http.Client{Timeout: overlap, Transport: &http.Transport{}})
+	ask(1, "3", http.DefaultClient)
+	want(2, 0)
+	var both sync.WaitGroup
+	for at := range 2 {
+		both.Go(func() { ask(at, "4", http.DefaultClient) })
+	}
+	both.Wait()
+	want(3, 1)
+	s.freeze(5 * overlap)
+	began := time.Now()
+	ask(0, "5", http.DefaultClient)
+	if took := time.Since(began); took < 15*overlap-time.Millisecond {
+		t.Errorf("a frozen service answered after %s", took)
+	}
+}
+
+func TestScenarios(t *testing.T) {
+	for _, name := range scenarios.PoolNames() {
+		file, text, err := scenarios.Find("pools/" + name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s, err := Read(file, text); err != nil || s.Name != name {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	good := "name: t\nduration: 5s\npools: [{name: a}]\ntroubles: [{kind: freeze, pool: a, at: 1s, for: 2s}]\n"
+	for from, c := range map[string][2]string{
+		"name: t\n":       {"", "name: is missing"},
+		"5s":              {"5", "t.yaml:2:11: duration: a span"},
+		"{name: a}":       {"{name: a}, {name: a}", "t.yaml:3:25: pools[1].name: a pool has a name of its own"},
+		"name: a}":        {"name: a, rate: -1}", "pools[0].rate: above 0"},
+		"name: a}]":       {"name: a, effect: odd}]", "pools[0].effect: safe or unsafe"},
+		"[{name: a}":      {"[{name: a, destinations: 99}", "pools[0].destinations: between 1 and 50"},
+		"[{name: a}]":     {"[{name: a, guaranteed: 5, most: 2}]", "pools[0].most: at least the guaranteed 5"},
+		"freeze":          {"frieze", `troubles[0].kind: freeze, errors, come-and-go or crowd, not "frieze"`},
+		"pool: a":         {"pool: b", `troubles[0].pool: there is no pool "b"`},
+		"for: 2s":         {"for: 9s", "troubles[0].at: a trouble of some length"},
+		"freeze, pool: a": {"crowd", "troubles[0].size: between 1 and 2000"},
+	} {
+		if _, err := Read("t.yaml", []byte(strings.Replace(good, from, c[0], 1))); err == nil || !strings.Contains(err.Error(), c[1]) {
+			t.Errorf("%q: %v", c[0], err)
+		}
+	}
+}
--- a/scenarios/scenarios.go
+++ b/scenarios/scenarios.go
@@ -10,15 +10,24 @@
 	"strings"
 )
 
-//go:embed *.yaml
+//go:embed *.yaml pools/*.yaml
 var files embed.FS
 
 // Names are the scenarios that ship, sorted.
 func Names() []string {
+	return names(".")
+}
+
+// PoolNames are those of processes with several pools, sorted. Find knows them as pools/NAME.
+func PoolNames() []string { return names("pools") }
+
+func names(folder string) []string {
 	var out []string
-	entries, _ := fs.ReadDir(files, ".")
+	entries, _ := fs.ReadDir(files, folder)
 	for _, e := range entries {
-		out = append(out, strings.TrimSuffix(e.Name(), path.Ext(e.Name())))
+		if !e.IsDir() {
+			out = append(out, strings.TrimSuffix(e.Name(), path.Ext(e.Name())))
+		}
 	}
 	slices.Sort(out)
 	return out
