--- a/internal/lab/services/services_test.go
+++ b/internal/lab/services/services_test.go
@@ -69,7 +69,7 @@
 	for from, c := range map[string][2]string{
 		"name: t\n":       {"", "name: is missing"},
 		"5s":              {"5", "t.yaml:2:11: duration: a span"},
-		"{name: a}":       {"{name: a}, {name: a}", "t.yaml:3:25: pools[1].name: a pool has a name of its own"},
+		"{name: a}":       {"{name: a}, {name: a}", "t.yaml:3:27: pools[1].name: a pool has a name of its own"},
 		"name: a}":        {"name: a, rate: -1}", "pools[0].rate: above 0"},
 		"name: a}]":       {"name: a, effect: odd}]", "pools[0].effect: safe or unsafe"},
 		"[{name: a}":      {"[{name: a, destinations: 99}", "pools[0].destinations: between 1 and 50"},
