--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -39,10 +39,12 @@
 func (f *fake) Follow(since int64)                      { f.watched <- since }
 
 // start runs a Loop over a fake, with one class that is unsafe, and two destinations.
-func start(t testing.TB, limits balance.Limits) (*Loop, *fake) {
+func start(t testing.TB, limits balance.Limits) (*Loop, *fake) { return startLogged(t, limits, quiet) }
+
+func startLogged(t testing.TB, limits balance.Limits, log *slog.Logger) (*Loop, *fake) {
 	class := balance.Class{Aim: 5 * time.Second, Deadline: 5 * time.Second, Worth: 1, Effect: balance.Unsafe}
 	l, err := New(balance.Settings{Balancers: 1, Classes: []balance.Class{class}, Limits: limits, Ask: true,
-		Rules: balance.Rules{DrainGrace: time.Second / 2, AskWithin: 80 * time.Millisecond}}, Names{}, NewClock(), quiet)
+		Rules: balance.Rules{DrainGrace: time.Second / 2, AskWithin: 80 * time.Millisecond}}, Names{}, NewClock(), log)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -284,9 +286,8 @@
 
 // A Loop that is stuck in an event says where, once, and nothing waits behind it for longer than its deadline.
 func TestStuckLoop(t *testing.T) {
-	l, _ := start(t, limits)
-	var text bytes.Buffer
-	l.log = slog.New(slog.NewTextHandler(&text, nil))
+	var text bytes.Buffer // written by this goroutine alone, which asks whether the Loop is stuck
+	l, _ := startLogged(t, limits, slog.New(slog.NewTextHandler(&text, nil)))
 	hold, held := make(chan struct{}), make(chan struct{})
 	l.post(func() { close(held); <-hold })
 	<-held
