--- a/internal/lab/proxy/stream.go
+++ b/internal/lab/proxy/stream.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"slices"
+	"sync"
 	"time"
 
 	cluster "github.com/envoyproxy/go-control-plane/envoy/config/cluster/v3"
@@ -34,6 +35,10 @@
 	Log     *slog.Logger
 	Dial    func(context.Context) (net.Conn, error) // instead of TCP; nil for TCP
 
+	mu   sync.Mutex
+	cut  context.CancelFunc // ends the stream that is open
+	cuts int
+
 	versions map[string]map[string]string // delta: of each resource, by type
 	whole    map[string]string            // state of the world: of each type
 	clusters []string
@@ -53,6 +58,23 @@
 	}
 }
 
+// Cut ends the stream that is open, as a broken network does. The proxy connects again, to the next of its servers.
+func (c *Client) Cut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cut != nil {
+		c.cut()
+		c.cuts++
+	}
+}
+
+// Cuts tells how often it was cut off.
+func (c *Client) Cuts() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cuts
+}
+
 func (c *Client) once(ctx context.Context, server string) error {
 	options := []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}
 	if c.Dial != nil {
@@ -65,6 +87,9 @@
 	defer conn.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	c.mu.Lock()
+	c.cut = cancel
+	c.mu.Unlock()
 	if c.Loads != nil {
 		go c.reportLoads(ctx, conn)
 	}
