The watch of files is a package of its own: certificates need it, too

Need: xDS over TLS reloads certificates when they change, as lists are. Change: internal/filewatch, taken out of internal/listfile. Measured: the tests of listfile and pools pass.

--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -10,6 +10,7 @@
 
 	"kitewood/balance"
 	"kitewood/internal/config"
+	"kitewood/internal/filewatch"
 	"kitewood/internal/listfile"
 	"kitewood/internal/loads"
 	"kitewood/internal/routing"
@@ -62,7 +63,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	var watcher *listfile.Watcher
+	var watcher *filewatch.Watcher
 	fail := func(err error) (*Service, error) {
 		cancel()
 		return nil, err
@@ -81,11 +82,11 @@
 			Fields: conf.Reports.Fields, ProbePath: "/stats", Log: log})
 		if conf.Members.File != "" {
 			if watcher == nil {
-				if watcher, err = listfile.NewWatcher(ctx, log); err != nil {
+				if watcher, err = filewatch.New(ctx, log); err != nil {
 					return fail(err)
 				}
 			}
-			if p.watch, err = watcher.Source(ctx, conf.Members.File, loop, log); err != nil {
+			if p.watch, err = listfile.Open(ctx, watcher, conf.Members.File, loop, log); err != nil {
 				return fail(fmt.Errorf("pool %q: %w", conf.Name, err))
 			}
 		} else {
--- a/internal/listfile/listfile.go
+++ b/internal/listfile/listfile.go
@@ -12,9 +12,8 @@
 	"sync"
 	"time"
 
-	"github.com/fsnotify/fsnotify"
-
 	"kitewood/balance"
+	"kitewood/internal/filewatch"
 	"kitewood/internal/routing"
 	"kitewood/internal/yamlfile"
 )
@@ -80,74 +79,11 @@
 	return out, wrong.Err()
 }
 
-// Watcher tells of changes of files. One serves all pools, as the system counts watchers.
-type Watcher struct {
-	log   *slog.Logger
-	watch *fsnotify.Watcher
-
-	mu     sync.Mutex
-	tell   map[string]map[*Source]bool // by file
-	folder map[string]int              // files watched in it
-}
-
-// NewWatcher starts a Watcher that ends with the context.
-func NewWatcher(ctx context.Context, log *slog.Logger) (*Watcher, error) {
-	watch, err := fsnotify.NewWatcher()
-	if err != nil {
-		return nil, err
-	}
-	w := &Watcher{log: log, watch: watch, tell: map[string]map[*Source]bool{}, folder: map[string]int{}}
-	context.AfterFunc(ctx, func() { watch.Close() })
-	go w.run()
-	return w, nil
-}
-
-// run ends when the watch is closed.
-func (w *Watcher) run() {
-	for {
-		select {
-		case e, open := <-w.watch.Events:
-			if !open {
-				return
-			}
-			w.changed(filepath.Clean(e.Name))
-		case err, open := <-w.watch.Errors:
-			if !open {
-				return
-			}
-			// Events may have been lost: every file is read again.
-			w.log.Error("the watch of the list files", "error", err)
-			w.mu.Lock()
-			var all []string
-			for path := range w.tell {
-				all = append(all, path)
-			}
-			w.mu.Unlock()
-			for _, path := range all {
-				w.changed(path)
-			}
-		}
-	}
-}
-
-func (w *Watcher) changed(path string) {
-	w.mu.Lock()
-	var sources []*Source
-	for s := range w.tell[path] {
-		sources = append(sources, s)
-	}
-	w.mu.Unlock()
-	for _, s := range sources {
-		go s.read() // one Loop that is behind must not keep the others' lists back
-	}
-}
-
 // Source feeds a Loop from a file. It implements routing.Directory.
 type Source struct {
-	path    string
-	loop    *routing.Loop
-	log     *slog.Logger
-	watcher *Watcher
+	path string
+	loop *routing.Loop
+	log  *slog.Logger
 
 	mu      sync.Mutex
 	version int64
@@ -156,46 +92,11 @@
 
 var _ routing.Directory = (*Source)(nil)
 
-// Source reads a list file and watches it until the context ends. The Loop has the list before Source returns; a file
-// that cannot be read is an error. Later a bad file is logged, and the last good list stays.
-func (w *Watcher) Source(ctx context.Context, path string, loop *routing.Loop, log *slog.Logger) (*Source, error) {
-	s := &Source{path: filepath.Clean(path), loop: loop, log: log, watcher: w}
-	folder := filepath.Dir(s.path)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	// The folder is watched, not the file: editors and deployments replace files whole. First the watch, then the
-	// first reading, or a change between the two would be missed.
-	if w.folder[folder] == 0 {
-		if err := w.watch.Add(folder); err != nil {
-			return nil, fmt.Errorf("%s: %w", folder, err)
-		}
-	}
-	if err := s.load(); err != nil {
-		if w.folder[folder] == 0 {
-			w.watch.Remove(folder)
-		}
-		return nil, err
-	}
-	w.folder[folder]++
-	if w.tell[s.path] == nil {
-		w.tell[s.path] = map[*Source]bool{}
-	}
-	w.tell[s.path][s] = true
-	context.AfterFunc(ctx, func() { w.end(s, folder) })
-	return s, nil
-}
-
-func (w *Watcher) end(s *Source, folder string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	delete(w.tell[s.path], s)
-	if len(w.tell[s.path]) == 0 {
-		delete(w.tell, s.path)
-	}
-	if w.folder[folder]--; w.folder[folder] == 0 {
-		delete(w.folder, folder)
-		w.watch.Remove(folder)
-	}
+// Open reads a list file and watches it until the context ends. The Loop has the list before Open returns; a file that
+// cannot be read is an error. Later a bad file is logged, and the last good list stays.
+func Open(ctx context.Context, w *filewatch.Watcher, path string, loop *routing.Loop, log *slog.Logger) (*Source, error) {
+	s := &Source{path: filepath.Clean(path), loop: loop, log: log}
+	return s, w.Watch(ctx, s.path, s.load, s.read)
 }
 
 // Follow has nothing to do: what changes is told by itself. It implements routing.Directory.
--- a/internal/listfile/listfile_test.go
+++ b/internal/listfile/listfile_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"kitewood/balance"
+	"kitewood/internal/filewatch"
 	"kitewood/internal/routing"
 )
 
@@ -81,7 +82,7 @@
 	log := slog.New(slog.NewTextHandler(&out, nil))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	w, err := NewWatcher(ctx, log)
+	w, err := filewatch.New(ctx, log)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -90,12 +91,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := w.Source(ctx, path, loop, log); err == nil {
+	if _, err := Open(ctx, w, path, loop, log); err == nil {
 		t.Fatal("a list that is not there was read")
 	}
 	write("destinations: []\n")
 	source, cut := context.WithCancel(ctx)
-	if _, err := w.Source(source, path, loop, log); err != nil {
+	if _, err := Open(source, w, path, loop, log); err != nil {
 		t.Fatal(err)
 	}
 	out.has(t, "destinations=0")
@@ -111,9 +112,7 @@
 	out.has(t, "no such file")
 	cut()
 	for until := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
-		w.mu.Lock()
-		left := len(w.tell) + len(w.folder)
-		w.mu.Unlock()
+		left := w.Watched()
 		if left == 0 {
 			break
 		}
--- a/internal/pools/pool.go
+++ b/internal/pools/pool.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"kitewood/internal/config"
+	"kitewood/internal/filewatch"
 	"kitewood/internal/listfile"
 	"kitewood/internal/protocol"
 	"kitewood/internal/routing"
@@ -47,12 +48,12 @@
 		p.watch = p.discovery
 	case m.File != "":
 		if s.watcher == nil {
-			if s.watcher, err = listfile.NewWatcher(s.ctx, s.log); err != nil {
+			if s.watcher, err = filewatch.New(s.ctx, s.log); err != nil {
 				p.cancel()
 				return nil, err
 			}
 		}
-		if p.watch, err = s.watcher.Source(p.ctx, m.File, loop, log); err != nil {
+		if p.watch, err = listfile.Open(p.ctx, s.watcher, m.File, loop, log); err != nil {
 			p.cancel()
 			return nil, err
 		}
--- a/internal/pools/set.go
+++ b/internal/pools/set.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"kitewood/internal/config"
-	"kitewood/internal/listfile"
+	"kitewood/internal/filewatch"
 	"kitewood/internal/protocol"
 	"kitewood/internal/route"
 	"kitewood/internal/routing"
@@ -31,7 +31,7 @@
 	file      *config.File
 	front     *transport.Front
 	listeners map[string]net.Listener
-	watcher   *listfile.Watcher // nil until a pool needs it
+	watcher   *filewatch.Watcher // nil until a pool needs it
 	pools     map[string]*pool
 	retired   map[*pool]bool
 	last      map[string]*pool // the last one of a name that was retired, while it runs
