xDS over TLS 1.3: certificates on both sides, reloaded, limited to pools

Need: proxies connect over networks; each may have its own pools only.

Change: 'tls' in the configuration of kitewood-control; a proxy's DNS or URI name decides which pools it is told of and may report on.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -55,7 +55,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		resource, err := routesOf(f)
+		resource, err := routesOf(f, &xdsserver.Rights{})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -141,8 +141,8 @@
 		t.Fatal(err)
 	}
 	for from, c := range map[string][2]string{
-		"plaintext: true": {"plaintext: false", "c.yaml:3:23: listeners[0].address: proxies connect in plain text"},
-		"127.0.0.1:9901":  {"10.0.0.1:9901", "on loopback only"},
+		"plaintext: true": {"plaintext: false", "c.yaml:1:1: tls: is missing"},
+		"127.0.0.1:9901":  {"10.0.0.1:9901", "c.yaml:3:23: listeners[0].address: plain text is for loopback only"},
 		"plaintext":       {"plain", "c.yaml:2:1: plain: unknown field"},
 		"a.test]":         {`"a.test:80"]`, "routes[0].hosts[0]: a host with a port"},
 		"pool: a}":        {"pool: a, as: any}", "routes[0].as: proxies know no classes"},
@@ -179,11 +179,11 @@
 	hub := xdsserver.NewHub(clock.Now)
 	g := grpc.NewServer()
 	ln := bufconn.Listen(1 << 20)
-	service, err := Start(ctx, &f.File, hub, clock, quiet)
+	service, err := Start(ctx, f, hub, clock, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
-	xdsserver.Register(g, hub, service.Reports, quiet)
+	xdsserver.Register(g, hub, service.Reports, xdsserver.Anybody, quiet)
 	go g.Serve(ln)
 	defer g.Stop()
 	for _, delta := range []bool{false, true} {
@@ -249,13 +249,13 @@
 	}
 	clock, quiet := routing.NewClock(), slog.New(slog.DiscardHandler)
 	hub := xdsserver.NewHub(clock.Now)
-	service, err := Start(t.Context(), &f.File, hub, clock, quiet)
+	service, err := Start(t.Context(), f, hub, clock, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
 	ln := bufconn.Listen(1 << 20)
 	g := grpc.NewServer()
-	xdsserver.Register(g, hub, service.Reports, quiet)
+	xdsserver.Register(g, hub, service.Reports, xdsserver.Anybody, quiet)
 	go g.Serve(ln)
 	defer g.Stop()
 	table, loads := proxy.NewTable(), proxy.NewTracker()
--- a/internal/control/program.go
+++ b/internal/control/program.go
@@ -8,13 +8,16 @@
 	"net"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
 	"kitewood/internal/config"
+	"kitewood/internal/filewatch"
 	"kitewood/internal/routing"
 	"kitewood/internal/xdsserver"
 	"kitewood/internal/yamlfile"
@@ -24,7 +27,9 @@
 type File struct {
 	config.File `yaml:",inline"`
 	// Plaintext says that proxies connect without TLS. It is needed, and allowed on loopback only.
-	Plaintext bool `yaml:"plaintext"`
+	Plaintext bool `yaml:"plaintext,omitempty"`
+	// TLS for all others.
+	TLS *TLS `yaml:"tls,omitempty"`
 }
 
 // Load reads a configuration file, fills in what it leaves out and checks it. Its errors are yamlfile.Problems.
@@ -45,9 +50,21 @@
 	}
 	wrong := tree.Wrong()
 	f.File.Complete(path, wrong.Add)
+	switch {
+	case f.Plaintext && f.TLS != nil:
+		wrong.Add("plaintext", "tls is given, too: one of them is enough")
+	case !f.Plaintext && f.TLS == nil:
+		wrong.Add("tls", "is missing: without it proxies connect in plain text, which plaintext: true allows on loopback")
+	case f.TLS != nil:
+		var names []string
+		for i := range f.Pools {
+			names = append(names, f.Pools[i].Name)
+		}
+		f.TLS.check(filepath.Dir(path), names, wrong.Add)
+	}
 	for i, l := range f.Listeners {
-		if at, err := netip.ParseAddrPort(l.Address); err == nil && (!f.Plaintext || !at.Addr().IsLoopback()) {
-			wrong.Add(fmt.Sprintf("listeners[%d].address", i), "proxies connect in plain text: on loopback only, and with plaintext: true")
+		if at, err := netip.ParseAddrPort(l.Address); err == nil && f.Plaintext && !at.Addr().IsLoopback() {
+			wrong.Add(fmt.Sprintf("listeners[%d].address", i), "plain text is for loopback only")
 		}
 	}
 	for i, r := range f.Routes {
@@ -85,7 +102,20 @@
 	defer cancel()
 	clock := routing.NewClock()
 	hub := xdsserver.NewHub(clock.Now)
-	g := grpc.NewServer(grpc.MaxRecvMsgSize(maxRequest), grpc.MaxConcurrentStreams(maxStreams),
+	var watcher *filewatch.Watcher
+	transport, identify := insecure.NewCredentials(), xdsserver.Identify(xdsserver.Anybody)
+	if f.TLS != nil {
+		var err error
+		if watcher, err = filewatch.New(ctx, log); err != nil {
+			return err
+		}
+		certificates, err := watchCertificates(ctx, watcher, f.TLS, log)
+		if err != nil {
+			return fmt.Errorf("tls: %w", err)
+		}
+		transport, identify = certificates.credentials(), f.TLS.identify
+	}
+	g := grpc.NewServer(grpc.Creds(transport), grpc.MaxRecvMsgSize(maxRequest), grpc.MaxConcurrentStreams(maxStreams),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingAfter, Timeout: pingTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}))
 	var lns []net.Listener
@@ -97,11 +127,11 @@
 		defer ln.Close()
 		lns = append(lns, ln)
 	}
-	service, err := Start(ctx, &f.File, hub, clock, log)
+	service, err := Start(ctx, f, hub, clock, log)
 	if err != nil {
 		return err
 	}
-	xdsserver.Register(g, hub, service.Reports, log)
+	xdsserver.Register(g, hub, service.Reports, identify, log)
 	if f.Admin != "" {
 		if err := admin(ctx, f.Admin, f.Name, hub, log); err != nil {
 			return fmt.Errorf("admin: %w", err)
--- a/internal/control/resources.go
+++ b/internal/control/resources.go
@@ -25,6 +25,7 @@
 	"kitewood/internal/config"
 	"kitewood/internal/routing"
 	"kitewood/internal/xds"
+	"kitewood/internal/xdsserver"
 )
 
 // RouteName is the name of the route configuration, and of the listener that every proxy may ask for.
@@ -130,7 +131,7 @@
 
 // routesOf are the routes of a configuration in the order that proxies try them: a virtual host for each host, with the
 // routes of the hosts that cover it behind its own, as proxies never look at a second one.
-func routesOf(f *config.File) (*xds.Resource, error) {
+func routesOf(f *config.File, rights *xdsserver.Rights) (*xds.Resource, error) {
 	type rule struct {
 		*config.Route
 		order int
@@ -154,7 +155,7 @@
 			rules := byHost[h]
 			slices.SortStableFunc(rules, func(a, b rule) int { return precedence(a.Route, b.Route) })
 			for _, r := range rules {
-				v.Routes = append(v.Routes, routeOf(r.Route)...)
+				v.Routes = append(v.Routes, routeOf(r.Route, may(rights, r.Pool))...)
 			}
 		}
 		c.VirtualHosts = append(c.VirtualHosts, v)
@@ -191,8 +192,9 @@
 
 func segments(path string) int { return strings.Count(strings.TrimSuffix(path, "/"), "/") }
 
-// routeOf is a route as proxies have it. A prefix of whole segments is two of theirs.
-func routeOf(r *config.Route) []*routes.Route {
+// routeOf is a route as proxies have it. A prefix of whole segments is two of theirs. To a proxy that may not have the pool it
+// is a 404: left out, its requests would fall to a route behind it, and reach another pool.
+func routeOf(r *config.Route, may bool) []*routes.Route {
 	var headers []*routes.HeaderMatcher
 	exact := func(name, value string) {
 		h := &routes.HeaderMatcher{Name: strings.ToLower(name), HeaderMatchSpecifier: &routes.HeaderMatcher_PresentMatch{PresentMatch: true}}
@@ -211,6 +213,9 @@
 	slices.SortFunc(headers, func(a, b *routes.HeaderMatcher) int { return cmp.Compare(a.Name, b.Name) })
 	route := func(m *routes.RouteMatch) *routes.Route {
 		m.Headers = headers
+		if !may {
+			return &routes.Route{Match: m, Action: &routes.Route_DirectResponse{DirectResponse: &routes.DirectResponseAction{Status: 404}}}
+		}
 		return &routes.Route{Match: m, Action: &routes.Route_Route{Route: &routes.RouteAction{
 			ClusterSpecifier: &routes.RouteAction_Cluster{Cluster: r.Pool}}}}
 	}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,15 +34,16 @@
 	clock routing.Clock
 	hub   *xdsserver.Hub
 	file  *config.File
+	views map[string]*xdsserver.Rights
 	pools map[string]*pool
 
 	// Reports takes what proxies report.
 	Reports *reports
 
 	mu        sync.Mutex
-	fixed     map[string][]*xds.Resource // listeners, routes, clusters
-	endpoints map[string]*xds.Resource   // by pool; nil before its first list
-	open      bool                       // something was published
+	fixed     map[string]map[string][]*xds.Resource // listeners, routes, clusters, by view
+	endpoints map[string]*xds.Resource              // by pool; nil before its first list
+	open      bool                                  // something was published
 }
 
 // pool is a Balancer with its list and its probes, and no operations: proxies carry those.
@@ -55,9 +57,18 @@
 }
 
 // Start reads lists, starts the pools of a configuration and publishes to a hub until the context ends.
-func Start(ctx context.Context, f *config.File, hub *xdsserver.Hub, clock routing.Clock, log *slog.Logger) (*Service, error) {
-	s := &Service{log: log, ctx: ctx, clock: clock, hub: hub, file: f, pools: map[string]*pool{},
-		fixed: map[string][]*xds.Resource{}, endpoints: map[string]*xds.Resource{}}
+func Start(ctx context.Context, file *File, hub *xdsserver.Hub, clock routing.Clock, log *slog.Logger) (*Service, error) {
+	f := &file.File
+	s := &Service{log: log, ctx: ctx, clock: clock, hub: hub, file: f, views: map[string]*xdsserver.Rights{}, pools: map[string]*pool{},
+		fixed: map[string]map[string][]*xds.Resource{}, endpoints: map[string]*xds.Resource{}}
+	if file.TLS == nil {
+		s.views[""] = &xdsserver.Rights{}
+	} else {
+		for i := range file.TLS.Proxies {
+			r := file.TLS.Proxies[i].rights()
+			s.views[r.View] = r
+		}
+	}
 	s.Reports = &reports{service: s, loads: loads.New()}
 	if err := s.fix(); err != nil {
 		return nil, err
@@ -167,46 +178,65 @@
 	}
 }
 
-// fix makes the resources that follow from the configuration alone.
+// fix makes the resources that follow from the configuration alone, for each view.
 func (s *Service) fix() error {
-	add := func(t string, r *xds.Resource, err error) error {
-		if err == nil {
-			s.fixed[t] = append(s.fixed[t], r)
-		}
-		return err
-	}
-	r, err := routesOf(s.file)
-	if err := add(xds.TypeRoute, r, err); err != nil {
-		return err
-	}
-	names := map[string]bool{RouteName: true}
-	for i := range s.file.Pools {
-		names[s.file.Pools[i].Name] = true
-		r, err := clusterOf(&s.file.Pools[i])
-		if err := add(xds.TypeCluster, r, err); err != nil {
+	for view, rights := range s.views {
+		fixed := map[string][]*xds.Resource{}
+		s.fixed[view] = fixed
+		add := func(t string, r *xds.Resource, err error) error {
+			if err == nil {
+				fixed[t] = append(fixed[t], r)
+			}
 			return err
 		}
-	}
-	for name := range names {
-		r, err := listenerOf(name)
-		if err := add(xds.TypeListener, r, err); err != nil {
+		r, err := routesOf(s.file, rights)
+		if err := add(xds.TypeRoute, r, err); err != nil {
 			return err
 		}
+		names := []string{RouteName}
+		for i := range s.file.Pools {
+			p := &s.file.Pools[i]
+			if !may(rights, p.Name) {
+				continue
+			}
+			names = append(names, p.Name)
+			r, err := clusterOf(p)
+			if err := add(xds.TypeCluster, r, err); err != nil {
+				return err
+			}
+		}
+		for _, name := range names {
+			r, err := listenerOf(name)
+			if err := add(xds.TypeListener, r, err); err != nil {
+				return err
+			}
+		}
 	}
 	return nil
 }
 
-// publish hands the hub a snapshot. s.mu is held.
+// may tells whether a proxy with some rights is told of a pool.
+func may(rights *xdsserver.Rights, pool string) bool {
+	return len(rights.Pools) == 0 || slices.Contains(rights.Pools, pool)
+}
+
+// publish hands the hub a snapshot for each view. s.mu is held.
 func (s *Service) publish() {
-	all := maps.Clone(s.fixed)
-	for _, r := range s.endpoints {
-		all[xds.TypeEndpoint] = append(all[xds.TypeEndpoint], r)
-	}
-	snapshot, err := xds.NewSnapshot(all)
-	if err != nil {
-		s.log.Error("snapshot", "error", err)
-		return
+	all := map[string]*xds.Snapshot{}
+	for view, rights := range s.views {
+		types := maps.Clone(s.fixed[view])
+		for name, r := range s.endpoints {
+			if may(rights, name) {
+				types[xds.TypeEndpoint] = append(types[xds.TypeEndpoint], r)
+			}
+		}
+		snapshot, err := xds.NewSnapshot(types)
+		if err != nil {
+			s.log.Error("snapshot", "error", err)
+			return
+		}
+		all[view] = snapshot
 	}
 	s.open = true
-	s.hub.Publish(snapshot)
+	s.hub.Publish(all)
 }
--- a/internal/xdsserver/hub.go
+++ b/internal/xdsserver/hub.go
@@ -15,11 +15,11 @@
 type Hub struct {
 	now func() time.Duration
 
-	mu       sync.Mutex
-	snapshot *xds.Snapshot
-	version  uint64 // of snapshot: it only grows
-	streams  map[*stream]bool
-	drains   []time.Duration // from the first word to a proxy to its answer, the last of them
+	mu        sync.Mutex
+	snapshots map[string]*xds.Snapshot // by view
+	version   uint64                   // of them: it only grows
+	streams   map[*stream]bool
+	drains    []time.Duration // from the first word to a proxy to its answer, the last of them
 }
 
 // keptDrains is how many times of drains are kept for those who look.
@@ -31,22 +31,28 @@
 	return &Hub{now: now, streams: map[*stream]bool{}}
 }
 
-// Publish has every stream go on to another snapshot. It waits for none of them.
-func (h *Hub) Publish(s *xds.Snapshot) {
+// Rights are what a proxy may have.
+type Rights struct {
+	View  string   // of the snapshot that it gets; proxies with the same pools share one
+	Pools []string // that it may report on; none for all
+}
+
+// Publish has every stream go on to another snapshot, that of its view. It waits for none of them.
+func (h *Hub) Publish(byView map[string]*xds.Snapshot) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.snapshot = s
+	h.snapshots = byView
 	h.version++
 	for x := range h.streams {
 		x.poke()
 	}
 }
 
-// newest is the newest snapshot, nil before the first.
-func (h *Hub) newest() (*xds.Snapshot, uint64) {
+// newest is the newest snapshot of a view, nil before the first.
+func (h *Hub) newest(view string) (*xds.Snapshot, uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.snapshot, h.version
+	return h.snapshots[view], h.version
 }
 
 func (h *Hub) join(x *stream) {
--- a/internal/xdsserver/loadstats.go
+++ b/internal/xdsserver/loadstats.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -33,6 +34,10 @@
 
 // StreamLoadStats is the load reporting service: proxies are asked for all clusters, by endpoint.
 func (s *Server) StreamLoadStats(w loadstats.LoadReportingService_StreamLoadStatsServer) error {
+	rights, err := s.rights(w.Context())
+	if err != nil {
+		return err
+	}
 	q, err := w.Recv()
 	if err != nil {
 		return err
@@ -53,6 +58,9 @@
 			return end(err)
 		}
 		for _, c := range q.ClusterStats {
+			if len(rights.Pools) > 0 && !slices.Contains(rights.Pools, c.ClusterName) {
+				continue // what it says of others' pools is not believed
+			}
 			stats, err := statsOf(c)
 			if err != nil {
 				return err
--- a/internal/xdsserver/server.go
+++ b/internal/xdsserver/server.go
@@ -11,6 +11,8 @@
 	loadstats "github.com/envoyproxy/go-control-plane/envoy/service/load_stats/v3"
 	routeservice "github.com/envoyproxy/go-control-plane/envoy/service/route/v3"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/anypb"
 
 	"kitewood/internal/xds"
@@ -26,14 +28,31 @@
 
 	loadstats.UnimplementedLoadReportingServiceServer
 
-	hub     *Hub
-	reports Reports
-	log     *slog.Logger
+	hub      *Hub
+	reports  Reports
+	identify Identify
+	log      *slog.Logger
+}
+
+// Identify finds what the proxy of a connection may have; an error lets it have nothing.
+type Identify func(context.Context) (*Rights, error)
+
+// Anybody may have all.
+func Anybody(context.Context) (*Rights, error) { return &Rights{}, nil }
+
+// rights are those of a proxy, or the protocol's word for that it has none.
+func (s *Server) rights(ctx context.Context) (*Rights, error) {
+	r, err := s.identify(ctx)
+	if err != nil {
+		s.log.Warn("a proxy is not let in", "peer", peerOf(ctx), "error", err)
+		return nil, status.Error(codes.PermissionDenied, "this proxy may have nothing")
+	}
+	return r, nil
 }
 
 // Register adds the services to a gRPC server.
-func Register(g *grpc.Server, hub *Hub, reports Reports, log *slog.Logger) {
-	s := &Server{hub: hub, reports: reports, log: log}
+func Register(g *grpc.Server, hub *Hub, reports Reports, identify Identify, log *slog.Logger) {
+	s := &Server{hub: hub, reports: reports, identify: identify, log: log}
 	loadstats.RegisterLoadReportingServiceServer(g, s)
 	discovery.RegisterAggregatedDiscoveryServiceServer(g, s)
 	clusterservice.RegisterClusterDiscoveryServiceServer(g, s)
@@ -57,7 +76,11 @@
 }
 
 func (s *Server) whole(w whole, only string) error {
-	return s.hub.serve(w.Context(), s.log, false, only, func() (*xds.Request, error) {
+	rights, err := s.rights(w.Context())
+	if err != nil {
+		return err
+	}
+	return s.hub.serve(w.Context(), s.log, rights.View, false, only, func() (*xds.Request, error) {
 		q, err := w.Recv()
 		if err != nil {
 			return nil, err
@@ -74,7 +97,11 @@
 }
 
 func (s *Server) changes(w changes, only string) error {
-	return s.hub.serve(w.Context(), s.log, true, only, func() (*xds.Request, error) {
+	rights, err := s.rights(w.Context())
+	if err != nil {
+		return err
+	}
+	return s.hub.serve(w.Context(), s.log, rights.View, true, only, func() (*xds.Request, error) {
 		q, err := w.Recv()
 		if err != nil {
 			return nil, err
--- a/internal/xdsserver/server_test.go
+++ b/internal/xdsserver/server_test.go
@@ -49,7 +49,7 @@
 	began := time.Now()
 	hub, log := NewHub(func() time.Duration { return time.Since(began) }), &text{}
 	g := grpc.NewServer()
-	Register(g, hub, nil, slog.New(slog.NewTextHandler(log, nil)))
+	Register(g, hub, nil, Anybody, slog.New(slog.NewTextHandler(log, nil)))
 	ln := bufconn.Listen(1 << 16)
 	go g.Serve(ln)
 	t.Cleanup(g.Stop)
@@ -73,7 +73,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	hub.Publish(s)
+	hub.Publish(map[string]*xds.Snapshot{"": s})
 }
 
 func until(t *testing.T, what string, is func() bool) {
--- a/internal/xdsserver/stream.go
+++ b/internal/xdsserver/stream.go
@@ -25,6 +25,7 @@
 	hub   *Hub
 	log   *slog.Logger
 	peer  string
+	view  string
 	delta bool
 	began time.Duration
 	wake  chan struct{} // there is another snapshot
@@ -37,9 +38,9 @@
 }
 
 // serve runs a stream to its end.
-func (h *Hub) serve(ctx context.Context, log *slog.Logger, delta bool, only string, recv func() (*xds.Request, error),
+func (h *Hub) serve(ctx context.Context, log *slog.Logger, view string, delta bool, only string, recv func() (*xds.Request, error),
 	send func(*xds.Response) error) (err error) {
-	x := &stream{hub: h, log: log, delta: delta, began: h.now(), wake: make(chan struct{}, 1), core: xds.NewStream(delta, only),
+	x := &stream{hub: h, log: log, view: view, delta: delta, began: h.now(), wake: make(chan struct{}, 1), core: xds.NewStream(delta, only),
 		peer: peerOf(ctx), refuse: map[string]string{}}
 	defer func() {
 		if p := recover(); p != nil { // it stops here; the proxy comes again
@@ -97,7 +98,7 @@
 	var seen uint64
 	writing := false
 	for {
-		if s, version := x.hub.newest(); version != seen {
+		if s, version := x.hub.newest(x.view); version != seen {
 			seen = version
 			x.mu.Lock()
 			x.core.Update(s)
