Tests: weights wait for an answer; nothing is told before all lists are known

Need: with the wait for the last answer taken out of the core all tests passed. Change: a dialogue that needs it, and a test of a service that lacks a list. Measured: the dialogue fails without the wait; six further faults put into the core and the routes by hand each fail a test.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/textproto"
 	"os"
 	"path/filepath"
@@ -282,3 +283,38 @@
 		t.Errorf("ages of reports: %v", service.Reports.Ages())
 	}
 }
+
+// A service that has not the lists of all pools tells nothing: proxies keep what they have.
+func TestNothingIsToldBeforeAllListsAreKnown(t *testing.T) {
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "a.yaml"), []byte("destinations: [{name: x, address: \"127.0.0.1:1\"}]\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed.Close()
+	f, err := Read(filepath.Join(dir, "c.yaml"), []byte(strings.Replace(good, "routes:", fmt.Sprintf(
+		"  - {name: b, members: {discovery: %q}, classes: [{name: any, effect: unsafe, aim: 1s, deadline: 3s}]}\nroutes:", closed.Addr()), 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := routing.NewClock()
+	hub := xdsserver.NewHub(clock.Now)
+	service, err := Start(t.Context(), f, hub, clock, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	known := func() (n int, open bool) {
+		service.mu.Lock()
+		defer service.mu.Unlock()
+		return len(service.endpoints), service.open
+	}
+	until(t, func() bool { n, _ := known(); return n == 1 })
+	if _, open := known(); open {
+		t.Error("one of two lists is known, and it was published")
+	}
+	service.pools["b"].loop.Pool(balance.Full, 1, nil) // a list that names nobody is one
+	until(t, func() bool { _, open := known(); return open })
+}
--- a/internal/xds/stream_test.go
+++ b/internal/xds/stream_test.go
@@ -181,6 +181,15 @@
 			<
 			wait 50ms
 			< eds a=3`,
+		"weights wait for the answer to the last response": `
+			snap eds:a=1
+			> eds a
+			< eds a=1
+			snap eds:a=2
+			wait 1h
+			<
+			ack eds a
+			< eds a=2`,
 		"a drain waits for nothing": `
 			snap eds:a=1/ready eds:b=1
 			> eds a b
