--- a/cmd/kitewood-control/main.go
+++ b/cmd/kitewood-control/main.go
@@ -19,12 +19,13 @@
 
 	"kitewood/internal/control"
 	"kitewood/internal/release"
+	"kitewood/internal/yamlfile"
 )
 
 func main() {
 	if err := command().Run(context.Background(), os.Args); err != nil {
 		// One line, as supervisors show one.
-		fmt.Fprintln(os.Stderr, "kitewood-control:", strings.ReplaceAll(err.Error(), "\n", "; "))
+		fmt.Fprintln(os.Stderr, "kitewood-control:", yamlfile.OneLine(err))
 		os.Exit(1)
 	}
 }
--- a/cmd/kitewood/main.go
+++ b/cmd/kitewood/main.go
@@ -8,17 +8,18 @@
 	"fmt"
 	"log/slog"
 	"os"
-	"strings"
 
 	"github.com/urfave/cli/v3"
 
 	"kitewood/internal/program"
 	"kitewood/internal/release"
+	"kitewood/internal/yamlfile"
 )
 
 func main() {
 	if err := command().Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "kitewood:", err)
+		// One line, as supervisors show one.
+		fmt.Fprintln(os.Stderr, "kitewood:", yamlfile.OneLine(err))
 		os.Exit(1)
 	}
 }
@@ -39,7 +40,7 @@
 					}
 					log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 					if path := c.String("config"); path != "" {
-						return oneLine(program.ServeFile(ctx, path, log))
+						return program.ServeFile(ctx, path, log)
 					}
 					config, err := program.Load(os.Getenv)
 					if err != nil {
@@ -55,7 +56,7 @@
 				Flags: []cli.Flag{configFlag()},
 				Action: func(_ context.Context, c *cli.Command) error {
 					if path := c.String("config"); path != "" {
-						return oneLine(program.CheckFile(path, c.Root().Writer))
+						return program.CheckFile(path, c.Root().Writer)
 					}
 					config, err := program.Load(os.Getenv)
 					if err != nil {
@@ -74,7 +75,7 @@
 					if c.String("config") == "" {
 						return errors.New("pools: --config names the configuration of the process")
 					}
-					return oneLine(program.ShowPools(c.String("config"), c.Bool("json"), c.Root().Writer))
+					return program.ShowPools(c.String("config"), c.Bool("json"), c.Root().Writer)
 				},
 			},
 			{
@@ -93,11 +94,3 @@
 func configFlag() cli.Flag {
 	return &cli.StringFlag{Name: "config", Usage: "YAML configuration of pools and routes (docs/configuration.md), instead of $ROUTER_CONFIG"}
 }
-
-// oneLine keeps what is wrong with a configuration on one line, as supervisors show one.
-func oneLine(err error) error {
-	if err == nil {
-		return nil
-	}
-	return errors.New(strings.ReplaceAll(err.Error(), "\n", "; "))
-}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -129,7 +129,7 @@
 		bad(at+"sidecars", "me counts from 0 up to below of, not %d of %d", s.Me, s.Of)
 	}
 	if p.Zone != "" && !slices.Contains(p.Zones, p.Zone) {
-		bad(at+"zone", "%q is none of the zones %s", p.Zone, list(p.Zones))
+		bad(at+"zone", "%q is none of the zones %q", p.Zone, p.Zones)
 	}
 	if p.Attempts < 1 || p.Attempts > 10 {
 		bad(at+"attempts", "between 1 and 10, not %d", p.Attempts)
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -1,23 +1,14 @@
 package config
 
 import (
-	"fmt"
-	"os"
 	"path/filepath"
-	"time"
 
 	"kitewood/internal/yamlfile"
 )
 
 // Load reads a configuration file, fills in what it leaves out and checks it. Its errors are yamlfile.Problems, joined
 // where there are several.
-func Load(path string) (*File, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, err
-	}
-	return Read(path, text)
-}
+func Load(path string) (*File, error) { return yamlfile.Load(path, Read) }
 
 // Read reads the text of a configuration file as Load does.
 func Read(path string, text []byte) (*File, error) {
@@ -40,22 +31,13 @@
 	f.check(wrong)
 }
 
-func or[T comparable](p *T, v T) {
-	var zero T
-	if *p == zero {
-		*p = v
-	}
-}
-
-func ms(n int) Duration { return Duration(time.Duration(n) * time.Millisecond) }
-
 // fill puts in what a file leaves out.
 func (f *File) fill(folder string) {
-	or(&f.Limits.Cores, 1)
-	or(&f.Limits.MemoryMB, 64)
-	or(&f.Limits.Sockets, 1024)
+	yamlfile.Default(&f.Limits.Cores, 1)
+	yamlfile.Default(&f.Limits.MemoryMB, 64)
+	yamlfile.Default(&f.Limits.Sockets, 1024)
 	front, _ := f.budget()
-	or(&f.Limits.Operations, max(1, front*7/8))
+	yamlfile.Default(&f.Limits.Operations, max(1, front*7/8))
 	for i := range f.Pools {
 		f.Pools[i].fill(folder)
 	}
@@ -68,7 +50,7 @@
 	}
 	for i := range p.Classes {
 		c := &p.Classes[i]
-		or(&c.Worth, 1)
+		yamlfile.Default(&c.Worth, 1)
 		if c.Methods == nil {
 			c.Methods = []string{"POST"}
 			if c.Effect == "safe" {
@@ -76,16 +58,16 @@
 			}
 		}
 	}
-	or(&p.Sidecars.Of, 1)
-	or(&p.Attempts, 3)
-	or(&p.RetryAfter, ms(2000))
-	or(&p.Reports.Via, "none")
-	or(&p.Cold.Share, 0.2)
-	or(&p.Cold.Time, ms(20_000))
-	or(&p.Cold.Multiple, 2.5)
-	or(&p.Cold.Window, ms(1500))
-	or(&p.Connections.Idle, ms(30_000))
-	or(&p.Connections.Timeout, ms(250))
+	yamlfile.Default(&p.Sidecars.Of, 1)
+	yamlfile.Default(&p.Attempts, 3)
+	yamlfile.Default(&p.RetryAfter, yamlfile.Milliseconds(2000))
+	yamlfile.Default(&p.Reports.Via, "none")
+	yamlfile.Default(&p.Cold.Share, 0.2)
+	yamlfile.Default(&p.Cold.Time, yamlfile.Milliseconds(20_000))
+	yamlfile.Default(&p.Cold.Multiple, 2.5)
+	yamlfile.Default(&p.Cold.Window, yamlfile.Milliseconds(1500))
+	yamlfile.Default(&p.Connections.Idle, yamlfile.Milliseconds(30_000))
+	yamlfile.Default(&p.Connections.Timeout, yamlfile.Milliseconds(250))
 }
 
 // Whole is a limit that pools share, and each pool's share of it.
@@ -126,5 +108,3 @@
 		}
 	}
 }
-
-func list(words []string) string { return fmt.Sprintf("%q", words) }
--- a/internal/config/resolve.go
+++ b/internal/config/resolve.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -58,7 +59,7 @@
 		Report: balance.Report{Via: vias[p.Reports.Via]},
 		Limits: balance.Limits{Probes: p.Probes, Cancel: true, RetryAfter: p.RetryAfter > 0, MaxAttempts: p.Attempts,
 			MaxRetryAfter: p.RetryAfter.D()},
-		Rules: balance.Rules{DrainGrace: ms(500).D(), AskWithin: ms(10_000).D(), ColdShare: p.Cold.Share, ColdTime: p.Cold.Time.D(),
+		Rules: balance.Rules{DrainGrace: 500 * time.Millisecond, AskWithin: 10 * time.Second, ColdShare: p.Cold.Share, ColdTime: p.Cold.Time.D(),
 			FallMultiple: p.Cold.Multiple, FallTime: p.Cold.Window.D()},
 		Ask:           p.Members.Discovery != "",
 		UnitsMeanSize: true,
--- a/internal/control/program.go
+++ b/internal/control/program.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net"
 	"net/netip"
-	"os"
 	"path/filepath"
 	"runtime/debug"
 	"strings"
@@ -34,13 +33,7 @@
 }
 
 // Load reads a configuration file, fills in what it leaves out and checks it. Its errors are yamlfile.Problems.
-func Load(path string) (*File, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, err
-	}
-	return Read(path, text)
-}
+func Load(path string) (*File, error) { return yamlfile.Load(path, Read) }
 
 // Read reads the text of a configuration file as Load does.
 func Read(path string, text []byte) (*File, error) {
--- a/internal/filewatch/filewatch.go
+++ b/internal/filewatch/filewatch.go
@@ -5,12 +5,22 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"os"
 	"path/filepath"
 	"sync"
 
 	"github.com/fsnotify/fsnotify"
 )
 
+// Replace writes a file whole, so that who watches or reads it never meets a part.
+func Replace(path string, text []byte) error {
+	next := path + ".new"
+	if err := os.WriteFile(next, text, 0o644); err != nil {
+		return err
+	}
+	return os.Rename(next, path)
+}
+
 // Watcher watches files. One serves a whole process, as the system counts watchers.
 type Watcher struct {
 	log   *slog.Logger
--- a/internal/lab/services/service.go
+++ b/internal/lab/services/service.go
@@ -4,9 +4,10 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
+
+	"kitewood/internal/listfile"
 )
 
 // service is the destinations of a pool, and the ledger of what reached them.
@@ -117,11 +118,10 @@
 	}
 }
 
-// list is the list file of a service.
-func (s *service) list() string {
-	var lines []string
+// list is the list of a service's destinations.
+func (s *service) list() (out []listfile.Destination) {
 	for i, a := range s.addrs {
-		lines = append(lines, fmt.Sprintf("  - {name: %s-%d, address: %q}", s.pool.Name, i, a))
+		out = append(out, listfile.Destination{Name: fmt.Sprintf("%s-%d", s.pool.Name, i), Address: a})
 	}
-	return "destinations:\n" + strings.Join(lines, "\n") + "\n"
+	return out
 }
--- a/internal/listfile/listfile.go
+++ b/internal/listfile/listfile.go
@@ -8,10 +8,11 @@
 	"net/netip"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"time"
 
+	"github.com/goccy/go-yaml"
+
 	"kitewood/balance"
 	"kitewood/internal/filewatch"
 	"kitewood/internal/routing"
@@ -20,19 +21,28 @@
 
 // list is the form of the file.
 type list struct {
-	Destinations []destination `yaml:"destinations"`
+	Destinations []Destination `yaml:"destinations"`
 }
 
-// destination is an entry. What is left out of the list is gone.
-type destination struct {
+// Destination is an entry. What is left out of the list is gone.
+type Destination struct {
 	Name    string  `yaml:"name"`
 	Address string  `yaml:"address"`
-	State   string  `yaml:"state"`  // ready or draining, ready if left out
-	Zone    string  `yaml:"zone"`   // of the pool's zones
-	Kind    string  `yaml:"kind"`   // of the pool's kinds
-	Group   int     `yaml:"group"`  // destinations that drop each other's repeats
-	Weight  float64 `yaml:"weight"` // its size against others', 1 if left out
-	Started string  `yaml:"started"`
+	State   string  `yaml:"state,omitempty"`   // ready or draining, ready if left out
+	Zone    string  `yaml:"zone,omitempty"`    // of the pool's zones
+	Kind    string  `yaml:"kind,omitempty"`    // of the pool's kinds
+	Group   int     `yaml:"group,omitempty"`   // destinations that drop each other's repeats
+	Weight  float64 `yaml:"weight,omitempty"`  // its size against others', 1 if left out
+	Started string  `yaml:"started,omitempty"` // RFC 3339; long ago if left out
+}
+
+// Write replaces the file of a path by a list, whole.
+func Write(path string, all []Destination) error {
+	text, err := yaml.Marshal(list{all})
+	if err != nil {
+		return err
+	}
+	return filewatch.Replace(path, text)
 }
 
 var states = map[string]balance.State{"": balance.Ready, "ready": balance.Ready, "draining": balance.Draining}
@@ -105,7 +115,7 @@
 // read takes the file's list if it has changed and is good.
 func (s *Source) read() {
 	if err := s.load(); err != nil {
-		s.log.Error("the list of destinations is not taken, the old one stays", "error", strings.ReplaceAll(err.Error(), "\n", "; "))
+		s.log.Error("the list of destinations is not taken, the old one stays", "error", yamlfile.OneLine(err))
 	}
 }
 
--- a/internal/pools/set.go
+++ b/internal/pools/set.go
@@ -132,7 +132,7 @@
 		s.log.Warn("the admin socket moves at the next start only", "admin", s.file.Admin)
 	}
 	s.file, s.listeners, s.pools = f, listeners, pools
-	limit(f.Limits)
+	FitRuntime(f.Limits.Cores, f.Limits.MemoryMB)
 	return nil
 }
 
@@ -214,12 +214,12 @@
 	front.Stop(ctx, longest+endMargin/2, lns...)
 }
 
-// limit fits the runtime to the machine's part that the process may use.
-func limit(l config.Limits) {
-	runtime.GOMAXPROCS(max(1, int(l.Cores+0.5)))
+// FitRuntime fits the runtime to the machine's part that the process may use.
+func FitRuntime(cores float64, memoryMB int) {
+	runtime.GOMAXPROCS(max(1, int(cores+0.5)))
 	// Next to nothing lives long here. At 400% the heap grew for minutes towards its first collection, like a leak.
 	debug.SetGCPercent(50)
-	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 * 3 / 4)
+	debug.SetMemoryLimit(int64(memoryMB) << 20 * 3 / 4)
 }
 
 // same tells whether a pool can go on under another configuration: its shares and the address of its discovery may change.
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -6,15 +6,14 @@
 	"net"
 	"os"
 	"os/signal"
-	"runtime"
-	"runtime/debug"
-	"strings"
 	"syscall"
 	"time"
 
 	"kitewood/balance"
+	"kitewood/internal/pools"
 	"kitewood/internal/routing"
 	"kitewood/internal/transport"
+	"kitewood/internal/yamlfile"
 )
 
 // A stopping sidecar is killed no sooner than the longest deadline, or 3 s where that is longer, and 0.7 s after the word.
@@ -27,7 +26,7 @@
 // Serve runs a sidecar until a signal stops it and nothing is owed to a client any more. At SIGHUP it calls reload and
 // moves to the discovery named there.
 func Serve(ctx context.Context, c *Config, reload func() (*Config, error), log *slog.Logger) error {
-	limit(c)
+	pools.FitRuntime(c.Cores, c.MemoryMB)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	signals := listen()
@@ -100,16 +99,8 @@
 			}
 			if err := reload(); err != nil {
 				// A file that is half written or wrong must not take a sidecar down that serves.
-				log.Error("the configuration is not taken, the old one stays", "error", strings.ReplaceAll(err.Error(), "\n", "; "))
+				log.Error("the configuration is not taken, the old one stays", "error", yamlfile.OneLine(err))
 			}
 		}
 	}
 }
-
-// limit fits the runtime to the machine's part that the sidecar may use.
-func limit(c *Config) {
-	runtime.GOMAXPROCS(max(1, int(c.Cores+0.5)))
-	// Next to nothing lives long here. At 400% the heap grew for minutes towards its first collection, like a leak.
-	debug.SetGCPercent(50)
-	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4)
-}
--- a/internal/yamlfile/read.go
+++ b/internal/yamlfile/read.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"strings"
 
 	"github.com/goccy/go-yaml"
@@ -25,6 +26,19 @@
 	return fmt.Sprintf("%s:%d:%d: %s", p.File, p.Line, p.Column, p.Text)
 }
 
+// OneLine is what an error says, of several Problems too, on one line, as logs and supervisors show it.
+func OneLine(err error) string { return strings.ReplaceAll(err.Error(), "\n", "; ") }
+
+// Load reads the file of a path by a function that takes its name and text.
+func Load[T any](path string, read func(name string, text []byte) (T, error)) (T, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		var none T
+		return none, err
+	}
+	return read(path, text)
+}
+
 // File is a file that was read.
 type File struct {
 	name string
--- a/internal/yamlfile/values.go
+++ b/internal/yamlfile/values.go
@@ -1,6 +1,7 @@
 package yamlfile
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -33,6 +34,14 @@
 // MarshalYAML writes it as it is read.
 func (d Duration) MarshalYAML() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
 
+// Milliseconds is a span of so many.
+func Milliseconds(n int) Duration { return Duration(time.Duration(n) * time.Millisecond) }
+
+// Default gives a value that a file leaves out.
+func Default[T comparable](p *T, v T) {
+	*p = cmp.Or(*p, v)
+}
+
 // At is an error at the place of a node.
 func At(node ast.Node, message string) error {
 	return &yaml.SyntaxError{Message: message, Token: node.GetToken()}
