The control service read back: one way into streams, endpoints looked at once

Each stream looked at its endpoints twice for every response, each variant checked rights for itself, a refusal kept what nobody read, the service watched files twice and ended itself by a second context; the age of reports, which the status names, was not shown.

Change: one lookup, one way in, one watcher, the context of whoever starts the service; status shows the reports' age. Dead branches and fields are gone.

--- a/cmd/kitewood-control/main.go
+++ b/cmd/kitewood-control/main.go
@@ -121,5 +121,9 @@
 				t.Acked, t.WaitingMS, t.Refused)
 		}
 	}
+	fmt.Fprintln(w, "\nREPORTS OF\tAGE")
+	for _, r := range s.Reports {
+		fmt.Fprintf(w, "%s\t%dms\n", r.Proxy, r.AgeMS)
+	}
 	return w.Flush()
 }
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -3,18 +3,19 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 
 	"kitewood/internal/adminsocket"
-	"kitewood/internal/xdsserver"
 )
 
 // Status is what the admin socket shows.
 type Status struct {
-	Name    string        `json:"name"`
-	Proxies []ProxyStatus `json:"proxies"`
-	Drains  DrainStatus   `json:"drains"`
+	Name    string         `json:"name"`
+	Proxies []ProxyStatus  `json:"proxies"`
+	Reports []ReportStatus `json:"reports"`
+	Drains  DrainStatus    `json:"drains"`
 }
 
 // ProxyStatus is a stream of a proxy.
@@ -27,6 +28,12 @@
 	Types   []TypeStatus `json:"types"`
 }
 
+// ReportStatus is a proxy that reports loads, by its node and connection.
+type ReportStatus struct {
+	Proxy string `json:"proxy"`
+	AgeMS int64  `json:"age_ms"` // of its newest report
+}
+
 // TypeStatus is how a stream stands with a type.
 type TypeStatus struct {
 	Type      string `json:"type"`
@@ -44,17 +51,19 @@
 	MaxMS float64 `json:"max_ms"`
 }
 
-func statusFor(name string, hub *xdsserver.Hub) Status {
-	proxies, drains := hub.Status()
-	out := Status{Name: name, Proxies: []ProxyStatus{}}
+// Status tells how the proxies stand.
+func (s *Service) Status() Status {
+	proxies, drains := s.hub.Status()
+	out := Status{Name: s.file.Name, Proxies: []ProxyStatus{}, Reports: []ReportStatus{}}
+	ages := s.reports.ages()
+	for _, proxy := range slices.Sorted(maps.Keys(ages)) {
+		out.Reports = append(out.Reports, ReportStatus{proxy, ages[proxy].Milliseconds()})
+	}
 	for _, p := range proxies {
 		x := ProxyStatus{Node: p.Node, Peer: p.Peer, Delta: p.Delta, SinceMS: p.Since.Milliseconds(), Unknown: p.Unknown}
 		for _, t := range p.Types {
-			y := TypeStatus{Type: t.TypeURL, Names: t.Names, Sent: t.Sent, Acked: t.Acked, WaitingMS: t.Waiting.Milliseconds()}
-			if t.Refused != nil {
-				y.Refused = t.Refused.Text
-			}
-			x.Types = append(x.Types, y)
+			x.Types = append(x.Types, TypeStatus{Type: t.TypeURL, Names: t.Names, Sent: t.Sent, Acked: t.Acked,
+				WaitingMS: t.Waiting.Milliseconds(), Refused: t.Refused})
 		}
 		out.Proxies = append(out.Proxies, x)
 	}
@@ -65,8 +74,8 @@
 	return out
 }
 
-func admin(ctx context.Context, path, name string, hub *xdsserver.Hub, log *slog.Logger) error {
-	return adminsocket.Serve(ctx, path, log, func() any { return statusFor(name, hub) })
+func admin(ctx context.Context, path string, s *Service, log *slog.Logger) error {
+	return adminsocket.Serve(ctx, path, log, func() any { return s.Status() })
 }
 
 // Ask reads the Status of a process from its admin socket.
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -126,6 +126,15 @@
 	}
 }
 
+func watch(t *testing.T) *filewatch.Watcher {
+	t.Helper()
+	w, err := filewatch.New(t.Context(), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
 const good = `name: c
 plaintext: true
 listeners: [{address: "127.0.0.1:9901"}]
@@ -174,11 +183,11 @@
 	hub := xdsserver.NewHub(clock.Now)
 	g := grpc.NewServer()
 	ln := bufconn.Listen(1 << 20)
-	service, err := Start(ctx, f, hub, clock, quiet)
+	service, err := Start(ctx, f, watch(t), hub, clock, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
-	xdsserver.Register(g, hub, service.Reports, xdsserver.Anybody, quiet)
+	xdsserver.Register(g, hub, service.Reports(), xdsserver.Anybody, quiet)
 	go g.Serve(ln)
 	defer g.Stop()
 	for _, delta := range []bool{false, true} {
@@ -208,8 +217,8 @@
 			t.Error("the list was empty for a moment")
 		}
 	}
-	testkit.Until(t, "both proxies and their drains are shown", func() bool { s := statusFor("c", hub); return len(s.Proxies) == 2 && s.Drains.Count >= 2 })
-	s := statusFor("c", hub)
+	testkit.Until(t, "both proxies and their drains are shown", func() bool { s := service.Status(); return len(s.Proxies) == 2 && s.Drains.Count >= 2 })
+	s := service.Status()
 	for _, p := range s.Proxies {
 		for _, x := range p.Types {
 			if x.Type == xds.TypeEndpoint && (x.Names != 1 || x.Refused != "") {
@@ -235,13 +244,13 @@
 	}
 	clock, quiet := routing.NewClock(), slog.New(slog.DiscardHandler)
 	hub := xdsserver.NewHub(clock.Now)
-	service, err := Start(t.Context(), f, hub, clock, quiet)
+	service, err := Start(t.Context(), f, watch(t), hub, clock, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
 	ln := bufconn.Listen(1 << 20)
 	g := grpc.NewServer()
-	xdsserver.Register(g, hub, service.Reports, xdsserver.Anybody, quiet)
+	xdsserver.Register(g, hub, service.Reports(), xdsserver.Anybody, quiet)
 	go g.Serve(ln)
 	defer g.Stop()
 	table, loads := proxy.NewTable(), proxy.NewTracker()
@@ -264,8 +273,8 @@
 		}
 		return picks["127.0.0.1:4"] == 0 && picks["127.0.0.1:2"] > picks["127.0.0.1:1"]*3/2
 	})
-	if len(service.Reports.Ages()) != 1 {
-		t.Errorf("ages of reports: %v", service.Reports.Ages())
+	if len(service.Status().Reports) != 1 {
+		t.Errorf("ages of reports: %v", service.Status().Reports)
 	}
 }
 
@@ -287,7 +296,7 @@
 	}
 	clock := routing.NewClock()
 	hub := xdsserver.NewHub(clock.Now)
-	service, err := Start(t.Context(), f, hub, clock, slog.New(slog.DiscardHandler))
+	service, err := Start(t.Context(), f, watch(t), hub, clock, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/control/program.go
+++ b/internal/control/program.go
@@ -98,13 +98,12 @@
 	debug.SetGCPercent(400)
 	clock := routing.NewClock()
 	hub := xdsserver.NewHub(clock.Now)
-	var watcher *filewatch.Watcher
+	watcher, err := filewatch.New(ctx, log)
+	if err != nil {
+		return err
+	}
 	transport, identify := insecure.NewCredentials(), xdsserver.Identify(xdsserver.Anybody)
 	if f.TLS != nil {
-		var err error
-		if watcher, err = filewatch.New(ctx, log); err != nil {
-			return err
-		}
 		certificates, err := watchCertificates(ctx, watcher, f.TLS, log)
 		if err != nil {
 			return fmt.Errorf("tls: %w", err)
@@ -123,13 +122,13 @@
 		defer ln.Close()
 		lns = append(lns, ln)
 	}
-	service, err := Start(ctx, f, hub, clock, log)
+	service, err := Start(ctx, f, watcher, hub, clock, log)
 	if err != nil {
 		return err
 	}
-	xdsserver.Register(g, hub, service.Reports, identify, log)
+	xdsserver.Register(g, hub, service.Reports(), identify, log)
 	if f.Admin != "" {
-		if err := admin(ctx, f.Admin, f.Name, hub, log); err != nil {
+		if err := admin(ctx, f.Admin, service, log); err != nil {
 			return fmt.Errorf("admin: %w", err)
 		}
 	}
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -44,8 +44,8 @@
 	r.loads.Leave(proxy)
 }
 
-// Ages tells how old each proxy's newest report is.
-func (r *reports) Ages() map[string]time.Duration {
+// ages tells how old each proxy's newest report is.
+func (r *reports) ages() map[string]time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.loads.Age(r.service.clock.Now())
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -40,8 +40,7 @@
 	views map[string]*xdsserver.Rights
 	pools map[string]*pool
 
-	// Reports takes what proxies report.
-	Reports *reports
+	reports *reports
 
 	mu        sync.Mutex
 	fixed     map[string]map[string][]*xds.Resource // listeners, routes, clusters, by view
@@ -60,8 +59,9 @@
 	dirty   chan struct{}
 }
 
-// Start reads lists, starts the pools of a configuration and publishes to a hub until the context ends.
-func Start(ctx context.Context, file *File, hub *xdsserver.Hub, clock routing.Clock, log *slog.Logger) (*Service, error) {
+// Start reads lists, starts the pools of a configuration and publishes to a hub until the context ends. On an error, too,
+// the context ends what was started.
+func Start(ctx context.Context, file *File, watcher *filewatch.Watcher, hub *xdsserver.Hub, clock routing.Clock, log *slog.Logger) (*Service, error) {
 	f := &file.File
 	s := &Service{log: log, ctx: ctx, clock: clock, hub: hub, file: f, views: map[string]*xdsserver.Rights{}, pools: map[string]*pool{},
 		fixed: map[string]map[string][]*xds.Resource{}, endpoints: map[string]*xds.Resource{}}
@@ -73,36 +73,26 @@
 			s.views[r.View] = r
 		}
 	}
-	s.Reports = &reports{service: s, loads: loads.New()}
+	s.reports = &reports{service: s, loads: loads.New()}
 	if err := s.fix(); err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	var watcher *filewatch.Watcher
-	fail := func(err error) (*Service, error) {
-		cancel()
-		return nil, err
-	}
 	for i := range f.Pools {
 		conf := &f.Pools[i]
 		log := log.With("pool", conf.Name)
-		loop, err := routing.New(module(f, conf), routing.Names{Zones: conf.Zones, Kinds: conf.Kinds}, clock, log)
+		set := module(f, conf)
+		loop, err := routing.New(set, routing.Names{Zones: conf.Zones, Kinds: conf.Kinds}, clock, log)
 		if err != nil {
-			return fail(fmt.Errorf("pool %q: %w", conf.Name, err))
+			return nil, fmt.Errorf("pool %q: %w", conf.Name, err)
 		}
-		p := &pool{conf: conf, set: module(f, conf), loop: loop, dirty: make(chan struct{}, 1)}
+		p := &pool{conf: conf, set: set, loop: loop, dirty: make(chan struct{}, 1)}
 		loop.Notify(p.changed)
 		p.carrier = transport.NewDestinations(transport.Options{Clock: clock, ConnectTimeout: conf.Connections.Timeout.D(),
 			IdleFor: conf.Connections.Idle.D() / 2, Room: transport.NewRoom(f.Budget().Destinations / len(f.Pools)),
 			Fields: conf.Reports.Fields, ProbePath: "/stats", Log: log})
 		if conf.Members.File != "" {
-			if watcher == nil {
-				if watcher, err = filewatch.New(ctx, log); err != nil {
-					return fail(err)
-				}
-			}
 			if p.watch, err = listfile.Open(ctx, watcher, conf.Members.File, loop, log); err != nil {
-				return fail(fmt.Errorf("pool %q: %w", conf.Name, err))
+				return nil, fmt.Errorf("pool %q: %w", conf.Name, err)
 			}
 		} else {
 			p.watch = transport.NewDirectory(ctx, conf.Members.Discovery, loop, log)
@@ -113,7 +103,6 @@
 		go p.loop.Run(ctx, p.carrier, p.watch)
 		go s.follow(ctx, p)
 	}
-	context.AfterFunc(ctx, cancel)
 	time.AfterFunc(wholeWithin, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -125,6 +114,9 @@
 	return s, nil
 }
 
+// Reports takes what proxies report.
+func (s *Service) Reports() xdsserver.Reports { return s.reports }
+
 // module is a pool's settings for the module. The proxies together are one balancer, which tracks every destination.
 func module(f *config.File, p *config.Pool) balance.Settings {
 	set := p.Module(f.SeedOf(p.Name))
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -23,7 +23,6 @@
 // Stats is what a proxy saw of an endpoint over an interval.
 type Stats struct {
 	InProgress uint64 // at the end of the interval
-	Issued     uint64
 	OK         uint64
 	Failed     uint64
 	Metrics    map[string]Metric
--- a/internal/pools/pool.go
+++ b/internal/pools/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"kitewood/internal/config"
@@ -42,24 +43,12 @@
 	}
 	p := &pool{name: conf.Name, conf: *conf, loop: loop}
 	p.ctx, p.cancel = context.WithCancel(s.ctx)
-	switch m := conf.Members; {
-	case m.Discovery != "":
-		p.discovery = transport.NewDirectory(p.ctx, m.Discovery, loop, log)
+	if conf.Members.Discovery != "" {
+		p.discovery = transport.NewDirectory(p.ctx, conf.Members.Discovery, loop, log)
 		p.watch = p.discovery
-	case m.File != "":
-		if s.watcher == nil {
-			if s.watcher, err = filewatch.New(s.ctx, s.log); err != nil {
-				p.cancel()
-				return nil, err
-			}
-		}
-		if p.watch, err = listfile.Open(p.ctx, s.watcher, m.File, loop, log); err != nil {
-			p.cancel()
-			return nil, err
-		}
-	default:
+	} else if p.watch, err = s.source(p.ctx, conf.Members.File, loop, log); err != nil {
 		p.cancel()
-		return nil, errNoList
+		return nil, err
 	}
 	options := transport.Options{Clock: s.clock, ConnectTimeout: conf.Connections.Timeout.D(),
 		IdleFor: time.Duration(float64(conf.Connections.Idle) * idleShare), Room: room{s.limits, conf.Name}, PassErrors: true,
@@ -75,6 +64,17 @@
 	return p, nil
 }
 
+// source watches a list file, by the one watcher of the process, which is made for the first.
+func (s *Set) source(ctx context.Context, path string, loop *routing.Loop, log *slog.Logger) (routing.Directory, error) {
+	if s.watcher == nil {
+		var err error
+		if s.watcher, err = filewatch.New(s.ctx, s.log); err != nil {
+			return nil, err
+		}
+	}
+	return listfile.Open(ctx, s.watcher, path, loop, log)
+}
+
 // run starts the pool's Loop.
 func (p *pool) run() { go p.loop.Run(p.ctx, p.destinations, p.watch) }
 
--- a/internal/pools/set.go
+++ b/internal/pools/set.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -231,5 +230,3 @@
 	}
 	return reflect.DeepEqual(a, b)
 }
-
-var errNoList = errors.New("it has neither discovery nor a list file")
--- a/internal/pools/status.go
+++ b/internal/pools/status.go
@@ -1,6 +1,7 @@
 package pools
 
 import (
+	"cmp"
 	"maps"
 	"runtime"
 	"slices"
@@ -96,14 +97,7 @@
 			}
 		}
 	}
-	slices.SortStableFunc(out.Pools, func(a, b PoolStatus) int {
-		if a.Name < b.Name {
-			return -1
-		} else if a.Name > b.Name {
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(out.Pools, func(a, b PoolStatus) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
--- a/internal/xds/stream.go
+++ b/internal/xds/stream.go
@@ -70,18 +70,11 @@
 	waiting  bool                 // for its ACK
 	at       time.Duration        // when it went out
 	urgent   time.Duration        // when the first urgent response went out that has no ACK; 0 for none
-	refused  *Refusal
-	acked    string // version of the last response that was accepted
+	refused  string               // why the last response was, "" if it was not
+	acked    string               // version of the last response that was accepted
 	drains   []time.Duration
 }
 
-// Refusal is a response that a proxy did not accept.
-type Refusal struct {
-	Version string
-	Text    string
-	At      time.Duration
-}
-
 // NewStream returns a stream: delta or state of the world, for one type or, with "", for all that are served.
 func NewStream(delta bool, only string) *Stream {
 	return &Stream{delta: delta, only: only, subs: map[string]*subscription{}}
@@ -168,10 +161,10 @@
 	sub.waiting = false
 	if q.Refused != "" {
 		// It counts as sent: what was refused is not sent again before it changes.
-		sub.refused = &Refusal{Version: sub.version, Text: clip(q.Refused), At: now}
+		sub.refused = clip(q.Refused)
 		return
 	}
-	sub.refused, sub.acked = nil, sub.version
+	sub.refused, sub.acked = "", sub.version
 	if sub.urgent != 0 {
 		sub.drains = append(sub.drains, now-sub.urgent)
 		sub.urgent = 0
@@ -250,9 +243,10 @@
 		return nil, 0
 	}
 	// Word that endpoints take nothing new goes before everything, and does not wait for the answer to anything.
+	var endpoints *Response
 	if sub := s.subs[TypeEndpoint]; sub != nil {
-		if r := s.response(TypeEndpoint, sub, true); r != nil {
-			return s.send(now, sub, r), 0
+		if endpoints = s.response(TypeEndpoint, sub); endpoints != nil && endpoints.Urgent {
+			return s.send(now, sub, endpoints), 0
 		}
 	}
 	for _, t := range order {
@@ -260,7 +254,10 @@
 		if sub == nil || sub.waiting {
 			continue // one response of a type at a time: changes meanwhile are gathered
 		}
-		r := s.response(t, sub, false)
+		r := endpoints
+		if t != TypeEndpoint {
+			r = s.response(t, sub)
+		}
 		if r == nil {
 			continue
 		}
@@ -289,8 +286,8 @@
 	return out
 }
 
-// response is what a subscription lacks, nil if that is nothing. urgent asks for the response to a change of safety only.
-func (s *Stream) response(t string, sub *subscription, urgent bool) *Response {
+// response is what a subscription lacks, nil if that is nothing.
+func (s *Stream) response(t string, sub *subscription) *Response {
 	wanted := s.wanted(t, sub)
 	s.keep(t, sub, wanted)
 	changed, safety := []*Resource{}, false
@@ -304,9 +301,6 @@
 		}
 		changed = append(changed, r)
 	}
-	if urgent && !safety {
-		return nil
-	}
 	if s.delta {
 		return s.deltaOf(t, sub, wanted, changed, safety)
 	}
@@ -415,7 +409,7 @@
 func (s *Stream) send(now time.Duration, sub *subscription, r *Response) *Response {
 	s.nonces++
 	r.Nonce = strconv.FormatUint(s.nonces, 36)
-	sub.nonce, sub.version, sub.waiting, sub.at, sub.asked, sub.refused = r.Nonce, r.Version, true, now, false, nil
+	sub.nonce, sub.version, sub.waiting, sub.at, sub.asked, sub.refused = r.Nonce, r.Version, true, now, false, ""
 	if r.Urgent && sub.urgent == 0 {
 		sub.urgent = now
 	}
@@ -450,7 +444,7 @@
 	Sent    string
 	Acked   string
 	Waiting time.Duration // how long the last response has waited for its answer, 0 if it has it
-	Refused *Refusal
+	Refused string        // why the last response was not accepted, "" if it was
 }
 
 // State tells how the stream stands, in the order of updates.
--- a/internal/xdsserver/loadstats.go
+++ b/internal/xdsserver/loadstats.go
@@ -89,7 +89,7 @@
 			if len(out) >= maxEndpoints {
 				return nil, status.Errorf(codes.InvalidArgument, "a report names over %d endpoints", maxEndpoints)
 			}
-			x := loads.Stats{InProgress: e.TotalRequestsInProgress, Issued: e.TotalIssuedRequests, OK: e.TotalSuccessfulRequests,
+			x := loads.Stats{InProgress: e.TotalRequestsInProgress, OK: e.TotalSuccessfulRequests,
 				Failed: e.TotalErrorRequests, Metrics: map[string]loads.Metric{}}
 			for _, m := range e.LoadMetricStats {
 				x.Metrics[m.MetricName] = loads.Metric{Samples: m.NumRequestsFinishedWithMetric, Sum: m.TotalMetricValue}
--- a/internal/xdsserver/server.go
+++ b/internal/xdsserver/server.go
@@ -10,6 +10,7 @@
 	listenerservice "github.com/envoyproxy/go-control-plane/envoy/service/listener/v3"
 	loadstats "github.com/envoyproxy/go-control-plane/envoy/service/load_stats/v3"
 	routeservice "github.com/envoyproxy/go-control-plane/envoy/service/route/v3"
+	rpc "google.golang.org/genproto/googleapis/rpc/status"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -75,17 +76,22 @@
 	Context() context.Context
 }
 
-func (s *Server) whole(w whole, only string) error {
-	rights, err := s.rights(w.Context())
+// serve runs a stream of a proxy that may have something.
+func (s *Server) serve(ctx context.Context, delta bool, only string, recv func() (*xds.Request, error), send func(*xds.Response) error) error {
+	rights, err := s.rights(ctx)
 	if err != nil {
 		return err
 	}
-	return s.hub.serve(w.Context(), s.log, rights.View, false, only, func() (*xds.Request, error) {
+	return s.hub.serve(ctx, s.log, rights.View, delta, only, recv, send)
+}
+
+func (s *Server) whole(w whole, only string) error {
+	return s.serve(w.Context(), false, only, func() (*xds.Request, error) {
 		q, err := w.Recv()
 		if err != nil {
 			return nil, err
 		}
-		return &xds.Request{Node: q.GetNode().GetId(), TypeURL: q.TypeUrl, Nonce: q.ResponseNonce, Refused: refused(q.ErrorDetail != nil, q.ErrorDetail.GetMessage()),
+		return &xds.Request{Node: q.GetNode().GetId(), TypeURL: q.TypeUrl, Nonce: q.ResponseNonce, Refused: refused(q.ErrorDetail),
 			Names: q.ResourceNames, Version: q.VersionInfo}, nil
 	}, func(r *xds.Response) error {
 		out := &discovery.DiscoveryResponse{TypeUrl: r.TypeURL, VersionInfo: r.Version, Nonce: r.Nonce, Resources: make([]*anypb.Any, len(r.Resources))}
@@ -97,16 +103,12 @@
 }
 
 func (s *Server) changes(w changes, only string) error {
-	rights, err := s.rights(w.Context())
-	if err != nil {
-		return err
-	}
-	return s.hub.serve(w.Context(), s.log, rights.View, true, only, func() (*xds.Request, error) {
+	return s.serve(w.Context(), true, only, func() (*xds.Request, error) {
 		q, err := w.Recv()
 		if err != nil {
 			return nil, err
 		}
-		return &xds.Request{Node: q.GetNode().GetId(), TypeURL: q.TypeUrl, Nonce: q.ResponseNonce, Refused: refused(q.ErrorDetail != nil, q.ErrorDetail.GetMessage()),
+		return &xds.Request{Node: q.GetNode().GetId(), TypeURL: q.TypeUrl, Nonce: q.ResponseNonce, Refused: refused(q.ErrorDetail),
 			Subscribe: q.ResourceNamesSubscribe, Unsubscribe: q.ResourceNamesUnsubscribe, Initial: q.InitialResourceVersions}, nil
 	}, func(r *xds.Response) error {
 		out := &discovery.DeltaDiscoveryResponse{TypeUrl: r.TypeURL, SystemVersionInfo: r.Version, Nonce: r.Nonce, RemovedResources: r.Removed,
@@ -118,12 +120,12 @@
 	})
 }
 
-// refused is why a response was refused: a refusal without a text is one, too.
-func refused(is bool, text string) string {
-	if is && text == "" {
+// refused is why a response was refused, "" if it was not: a refusal without a text is one, too.
+func refused(detail *rpc.Status) string {
+	if detail != nil && detail.Message == "" {
 		return "it does not say why"
 	}
-	return text
+	return detail.GetMessage()
 }
 
 // StreamAggregatedResources serves all types, state of the world.
--- a/internal/xdsserver/server_test.go
+++ b/internal/xdsserver/server_test.go
@@ -117,7 +117,7 @@
 		}
 		testkit.Until(t, "it is shown", func() bool {
 			p, _ := hub.Status()
-			return len(p) == 1 && len(p[0].Types) == 1 && p[0].Types[0].Refused != nil && p[0].Types[0].Refused.Text == "odd"
+			return len(p) == 1 && len(p[0].Types) == 1 && p[0].Types[0].Refused == "odd"
 		})
 		publish(t, hub, n+1, 0)
 	}
