The lab starts, measures and ends its processes in one place

Need: the drills of pools and of the control service ended their processes by code of their own, and did not have the emulator's guard that ends children with the lab; the drill and pools commands made their folders by two copies, a limit's shares were listed by two.

Change: internal/lab/child has the emulator's starter, and a child with its log, memory and processor time; workFolder serves both commands, config.Whole.Parts both users.

Measured: the short forms of the drills pools, xds-drain, xds-reconnect and xds-scale hold, no process is left; tests of emulator, services, config, pools and transport pass with -race.

--- a/cmd/kitewood-lab/drill.go
+++ b/cmd/kitewood-lab/drill.go
@@ -38,7 +38,7 @@
 			if err != nil {
 				return err
 			}
-			o := drill.Options{Short: c.Bool("short"), Seed: c.Uint64("seed"), Repeats: c.Int("repeats"), Dir: c.String("out")}
+			o := drill.Options{Short: c.Bool("short"), Seed: c.Uint64("seed"), Repeats: c.Int("repeats")}
 			var release func()
 			if o.Binary, release, err = sidecarProgram(ctx, c); err != nil {
 				return err
@@ -56,14 +56,10 @@
 			if o.Log, err = logger(c); err != nil {
 				return err
 			}
-			if o.Dir == "" {
-				if o.Dir, err = os.MkdirTemp("", "kitewood-drill-"); err != nil {
-					return err
-				}
-				defer os.RemoveAll(o.Dir)
-			} else if err := os.MkdirAll(o.Dir, 0o755); err != nil {
+			if o.Dir, release, err = workFolder(c); err != nil {
 				return err
 			}
+			defer release()
 			out, err := d.Run(ctx, o)
 			if err != nil {
 				return fmt.Errorf("drill %s: %w", d.Name, err)
--- a/cmd/kitewood-lab/main.go
+++ b/cmd/kitewood-lab/main.go
@@ -96,6 +96,18 @@
 	return path, release, nil
 }
 
+// workFolder is the folder that --out names, made if it is not there, or one that release removes.
+func workFolder(c *cli.Command) (dir string, release func(), err error) {
+	if out := c.String("out"); out != "" {
+		if dir, err = filepath.Abs(out); err == nil {
+			err = os.MkdirAll(dir, 0o755)
+		}
+		return dir, func() {}, err
+	}
+	dir, err = os.MkdirTemp("", "kitewood-"+c.Name+"-")
+	return dir, func() { os.RemoveAll(dir) }, err
+}
+
 // one is the single argument of a command.
 func one(c *cli.Command, what string) (string, error) {
 	if c.Args().Len() != 1 {
--- a/cmd/kitewood-lab/pools.go
+++ b/cmd/kitewood-lab/pools.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"os"
-	"path/filepath"
 
 	"github.com/urfave/cli/v3"
 
@@ -39,7 +37,7 @@
 				}
 				return nil
 			}
-			o := services.Options{Seed: c.Uint64("seed"), Dir: c.String("out")}
+			o := services.Options{Seed: c.Uint64("seed")}
 			if o.Scenario, err = findPools(name); err != nil {
 				return err
 			}
@@ -51,17 +49,10 @@
 				return err
 			}
 			defer release()
-			if o.Dir == "" {
-				if o.Dir, err = os.MkdirTemp("", "kitewood-pools-"); err != nil {
-					return err
-				}
-				defer os.RemoveAll(o.Dir)
-			} else if err := os.MkdirAll(o.Dir, 0o755); err != nil {
-				return err
-			}
-			if o.Dir, err = filepath.Abs(o.Dir); err != nil {
+			if o.Dir, release, err = workFolder(c); err != nil {
 				return err
 			}
+			defer release()
 			r, err := services.Play(ctx, o)
 			if err != nil {
 				return err
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -59,12 +59,7 @@
 		p.check(at, bad)
 	}
 	for _, w := range f.Wholes() {
-		parts := map[string]share.Part{}
-		for i := range f.Pools {
-			p := &f.Pools[i]
-			parts[p.Name] = share.Part(*w.Of(p))
-		}
-		if _, err := share.New(w.Units, parts); err != nil {
+		if _, err := share.New(w.Units, w.Parts(f)); err != nil {
 			bad("pools", "shares.%s: %v", w.Key, err)
 		}
 	}
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -3,6 +3,7 @@
 import (
 	"path/filepath"
 
+	"kitewood/internal/share"
 	"kitewood/internal/yamlfile"
 )
 
@@ -77,6 +78,15 @@
 	Of    func(*Pool) *Share
 }
 
+// Parts are the pools' shares of a limit, by name.
+func (w *Whole) Parts(f *File) map[string]share.Part {
+	out := make(map[string]share.Part, len(f.Pools))
+	for i := range f.Pools {
+		out[f.Pools[i].Name] = share.Part(*w.Of(&f.Pools[i]))
+	}
+	return out
+}
+
 // Wholes are the limits that pools share.
 func (f *File) Wholes() []Whole {
 	_, connections := f.budget()
--- /dev/null
+++ b/internal/lab/child/child.go
@@ -0,0 +1,92 @@
+package child
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Child is a process whose output goes to a file.
+type Child struct {
+	Ended chan struct{} // closed at its end
+	cmd   *exec.Cmd
+	log   string
+}
+
+// Start starts a program with more variables in its environment and its output in a file.
+func Start(log string, env []string, program string, args ...string) (*Child, error) {
+	out, err := os.Create(log)
+	if err != nil {
+		return nil, err
+	}
+	defer out.Close()
+	c := &Child{Ended: make(chan struct{}), cmd: exec.Command(program, args...), log: log}
+	c.cmd.Env = append(os.Environ(), env...)
+	c.cmd.Stdout, c.cmd.Stderr = out, out
+	starter := NewStarter()
+	if err := starter.Start(c.cmd); err != nil {
+		starter.Close()
+		return nil, err
+	}
+	go func() {
+		c.cmd.Wait()
+		starter.Close()
+		close(c.Ended)
+	}()
+	return c, nil
+}
+
+// Signal sends a signal.
+func (c *Child) Signal(s syscall.Signal) { c.cmd.Process.Signal(s) }
+
+// Kill ends it at once.
+func (c *Child) Kill() {
+	c.cmd.Process.Kill()
+	<-c.Ended
+}
+
+// Stop asks it to end and kills it if it takes longer than a time. It tells what was wrong with its end, "" for nothing:
+// a status other than 0, or that it had to be killed.
+func (c *Child) Stop(within time.Duration) string {
+	c.Signal(syscall.SIGTERM)
+	late := ""
+	select {
+	case <-c.Ended:
+	case <-time.After(within):
+		c.Kill()
+		late = fmt.Sprintf("it did not end within %s; ", within)
+	}
+	if !c.cmd.ProcessState.Success() {
+		return late + "it ended with " + c.cmd.ProcessState.String()
+	}
+	return late
+}
+
+// Said is what it has written.
+func (c *Child) Said() string {
+	text, err := os.ReadFile(c.log)
+	if err != nil {
+		return err.Error()
+	}
+	return string(text)
+}
+
+// Memory is a figure of its memory: see the function of this name.
+func (c *Child) Memory(figure string) int64 { return Memory(c.cmd.Process.Pid, figure) }
+
+// CPU is the processor time that it has used, 0 if that cannot be read.
+func (c *Child) CPU() time.Duration {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", c.cmd.Process.Pid))
+	_, rest, _ := strings.Cut(string(text), ") ")
+	f := strings.Fields(rest)
+	if len(f) < 13 {
+		return 0
+	}
+	user, _ := strconv.Atoi(f[11])
+	system, _ := strconv.Atoi(f[12])
+	return time.Duration(user+system) * time.Second / 100 // the kernel's unit for programs
+}
--- a/internal/lab/emulator/process.go
+++ b/internal/lab/child/starter.go
@@ -1,4 +1,5 @@
-package emulator
+// Package child starts the lab's processes, sees what they use, and ends them.
+package child
 
 import (
 	"fmt"
@@ -7,21 +8,18 @@
 	"runtime"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 )
 
-// tasks are the goroutines of a run, so that its end can wait for all of them.
-type tasks struct{ sync.WaitGroup }
-
-// starter starts children from one thread that never ends: the system ends a child with the thread that started it
+// Starter starts children from one thread that never ends: the system ends a child with the thread that started it
 // (Pdeathsig), so that none is left when the lab itself is killed.
-type starter struct {
+type Starter struct {
 	work chan func()
 }
 
-func newStarter() *starter {
-	s := &starter{work: make(chan func())}
+// NewStarter returns a Starter; Close ends its thread.
+func NewStarter() *Starter {
+	s := &Starter{work: make(chan func())}
 	go func() {
 		runtime.LockOSThread() // never unlocked: the thread ends with the goroutine, when no child is left
 		for f := range s.work {
@@ -31,7 +29,8 @@
 	return s
 }
 
-func (s *starter) start(cmd *exec.Cmd) error {
+// Start starts a command.
+func (s *Starter) Start(cmd *exec.Cmd) error {
 	// A group of their own keeps a terminal's Ctrl-C from reaching children before the lab has said so.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	done := make(chan error)
@@ -39,11 +38,12 @@
 	return <-done
 }
 
-func (s *starter) close() { close(s.work) }
+// Close ends the thread, and with it what it has started.
+func (s *Starter) Close() { close(s.work) }
 
-// memory is a figure of a process's memory in bytes, by its name in /proc (VmRSS, VmHWM); 0 if it cannot be read. The
+// Memory is a figure of a process's memory in bytes, by its name in /proc (VmRSS, VmHWM); 0 if it cannot be read. The
 // peak that the system tells of an ended child will not do: it counts the parent's memory from before the child's start.
-func memory(pid int, figure string) int64 {
+func Memory(pid int, figure string) int64 {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0
--- a/internal/lab/drill/xdsdrain.go
+++ b/internal/lab/drill/xdsdrain.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"slices"
 	"sync"
 	"time"
@@ -228,9 +227,8 @@
 		}
 		select {
 		case <-time.After(10 * time.Millisecond):
-		case <-service.ended:
-			text, _ := os.ReadFile(service.log)
-			return fmt.Errorf("the control service has ended: %s", text)
+		case <-service.Ended:
+			return fmt.Errorf("the control service has ended: %s", service.Said())
 		case <-ctx.Done():
 			return context.Cause(ctx)
 		}
--- a/internal/lab/drill/xdsreconnect.go
+++ b/internal/lab/drill/xdsreconnect.go
@@ -107,8 +107,7 @@
 			return nil, context.Cause(ctx)
 		}
 		if k == replaced/2 { // without a word: as a machine that is lost
-			services[0].cmd.Process.Kill()
-			<-services[0].ended
+			services[0].Kill()
 		}
 		if err := f.add(time.Now()); err != nil {
 			return nil, err
--- a/internal/lab/drill/xdsscale.go
+++ b/internal/lab/drill/xdsscale.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"path/filepath"
 	"runtime"
 	"slices"
@@ -217,11 +216,10 @@
 	}
 	for until := time.Now().Add(controlWait); c.answers.Load() < int64(proxies); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(until) || ctx.Err() != nil {
-			text, _ := os.ReadFile(service.log)
-			return fmt.Errorf("%d of %d proxies have endpoints within a minute: %s", c.answers.Load(), proxies, text)
+			return fmt.Errorf("%d of %d proxies have endpoints within a minute: %s", c.answers.Load(), proxies, service.Said())
 		}
 	}
-	before, cpu, began := c.bytes.Load(), service.cpu(), time.Now()
+	before, cpu, began := c.bytes.Load(), service.CPU(), time.Now()
 	changes := int(rate * d.Seconds())
 	for n := 1; n <= changes; n++ {
 		select {
@@ -251,8 +249,8 @@
 	for until := time.Now().Add(10 * time.Second); missing() > 0 && time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
 	}
 	left := missing()
-	used := service.cpu() - cpu
-	memory := service.memory()
+	used := service.CPU() - cpu
+	memory := service.Memory("VmRSS")
 	cancel()
 	wait.Wait()
 	times := make([]time.Duration, 0, len(c.last))
--- a/internal/lab/emulator/sidecar.go
+++ b/internal/lab/emulator/sidecar.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"kitewood/internal/filewatch"
+	"kitewood/internal/lab/child"
 	"kitewood/internal/lab/httpc"
 	"kitewood/internal/lab/ledger"
 )
@@ -94,7 +95,7 @@
 	p := &process{cmd: exec.Command(s.w.binary, args...), ended: make(chan struct{})}
 	p.cmd.Env = append(append(os.Environ(), s.w.env...), "ROUTER_CONFIG="+s.file("json"))
 	p.cmd.Stdout, p.cmd.Stderr = log, log
-	if err := s.w.starter.start(p.cmd); err != nil {
+	if err := s.w.starter.Start(p.cmd); err != nil {
 		return err
 	}
 	s.w.book.Add(ledger.Entry{Kind: ledger.Up, Sidecar: s.name, Tier: s.tier})
@@ -111,7 +112,7 @@
 		r := check.Do("", "GET", text, time.Now().Add(time.Second))
 		check.Close()
 		if r.Status == 200 {
-			p.rest = memory(p.cmd.Process.Pid, "VmRSS")
+			p.rest = child.Memory(p.cmd.Process.Pid, "VmRSS")
 			return nil
 		}
 		select {
@@ -156,7 +157,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if p := s.process; p != nil {
-		p.peak = max(p.peak, memory(p.cmd.Process.Pid, "VmHWM"))
+		p.peak = max(p.peak, child.Memory(p.cmd.Process.Pid, "VmHWM"))
 	}
 }
 
@@ -169,7 +170,7 @@
 	}
 	if end {
 		s.process.expected = true
-		s.process.peak = max(s.process.peak, memory(s.process.cmd.Process.Pid, "VmHWM"))
+		s.process.peak = max(s.process.peak, child.Memory(s.process.cmd.Process.Pid, "VmHWM"))
 	}
 	s.process.cmd.Process.Signal(sig)
 	return s.process
--- a/internal/lab/emulator/world.go
+++ b/internal/lab/emulator/world.go
@@ -18,6 +18,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"kitewood/internal/lab/child"
 	"kitewood/internal/lab/ledger"
 	"kitewood/internal/lab/model"
 	"kitewood/internal/lab/scenario"
@@ -63,6 +64,9 @@
 	Conns    int           `json:"conns"`
 }
 
+// tasks are the goroutines of a run, so that its end can wait for all of them.
+type tasks struct{ sync.WaitGroup }
+
 // World is a run.
 type World struct {
 	s        *scenario.Scenario
@@ -75,7 +79,7 @@
 	book     *ledger.Book
 	block    *block
 	registry *registry
-	starter  *starter
+	starter  *child.Starter
 	tasks    *tasks
 	caller   *caller
 	copies   atomic.Uint64
@@ -103,8 +107,8 @@
 	defer cancel()
 	w := &World{s: o.Scenario, seed: o.Seed, plan: o.Scenario.Lay(o.Seed), binary: o.Binary, env: o.Env, dir: o.Dir, log: o.Log,
 		tasks: &tasks{}, instances: map[string]*instance{}, indexes: make([]int, len(o.Scenario.Tiers)),
-		cancel: cancel, over: ctx.Done(), starter: newStarter()}
-	defer w.starter.close()
+		cancel: cancel, over: ctx.Done(), starter: child.NewStarter()}
+	defer w.starter.Close()
 	w.caller = &caller{w: w, prefix: rand.Uint64()}
 	w.book = ledger.NewBook()
 	if err := os.MkdirAll(filepath.Join(w.dir, "sidecars"), 0o755); err != nil {
--- a/internal/lab/services/process.go
+++ b/internal/lab/services/process.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -13,6 +11,7 @@
 	"time"
 
 	"kitewood/internal/filewatch"
+	"kitewood/internal/lab/child"
 	"kitewood/internal/lab/httpc"
 	"kitewood/internal/listfile"
 )
@@ -23,9 +22,7 @@
 	address  string
 	sockets  int
 	services []*service
-	cmd      *exec.Cmd
-	log      *os.File
-	ended    chan struct{}
+	child    *child.Child
 	once     sync.Once
 	note     string
 }
@@ -33,7 +30,7 @@
 // start starts the services and the process, and waits until it is ready.
 func start(ctx context.Context, o Options) (p *process, err error) {
 	dir := o.Dir
-	p = &process{dir: dir, sockets: o.Scenario.Sockets, ended: make(chan struct{})}
+	p = &process{dir: dir, sockets: o.Scenario.Sockets}
 	defer func() {
 		if err != nil {
 			p.end()
@@ -58,16 +55,9 @@
 	if err := p.configure(""); err != nil {
 		return nil, err
 	}
-	if p.log, err = os.Create(filepath.Join(dir, "kitewood.log")); err != nil {
+	if p.child, err = child.Start(filepath.Join(dir, "kitewood.log"), nil, o.Binary, "serve", "--config", filepath.Join(dir, "kitewood.yaml")); err != nil {
 		return nil, err
 	}
-	cmd := exec.Command(o.Binary, "serve", "--config", filepath.Join(dir, "kitewood.yaml"))
-	cmd.Stdout, cmd.Stderr = p.log, p.log
-	if err := cmd.Start(); err != nil {
-		return nil, err
-	}
-	p.cmd = cmd
-	go func() { cmd.Wait(); close(p.ended) }()
 	pool := httpc.NewPool(httpc.Options{Address: p.address, ConnectTimeout: time.Second})
 	defer pool.Close()
 	ready := httpc.Text("GET", "/health/ready", "drill", nil)
@@ -76,14 +66,14 @@
 			return p, nil
 		}
 		select {
-		case <-p.ended:
-			return nil, fmt.Errorf("the process ended before it was ready: %s", p.said())
+		case <-p.child.Ended:
+			return nil, fmt.Errorf("the process ended before it was ready: %s", p.child.Said())
 		case <-ctx.Done():
 			return nil, context.Cause(ctx)
 		default:
 		}
 	}
-	return nil, fmt.Errorf("the process was not ready within a minute: %s", p.said())
+	return nil, fmt.Errorf("the process was not ready within a minute: %s", p.child.Said())
 }
 
 // configure writes the configuration, without one of the pools unless that is "".
@@ -110,44 +100,22 @@
 	return filewatch.Replace(filepath.Join(p.dir, "kitewood.yaml"), []byte(b.String()+"routes:\n"+routes.String()))
 }
 
-func (p *process) hup() { p.cmd.Process.Signal(syscall.SIGHUP) }
-
-// said is what the process logged.
-func (p *process) said() string {
-	text, err := os.ReadFile(p.log.Name())
-	if err != nil {
-		return err.Error()
-	}
-	return string(text)
-}
+func (p *process) hup() { p.child.Signal(syscall.SIGHUP) }
 
 // end stops the process and the services, and tells what was wrong with its end, if anything.
 func (p *process) end() string {
 	p.once.Do(func() {
-		if p.cmd != nil {
-			p.cmd.Process.Signal(syscall.SIGTERM)
-			select {
-			case <-p.ended:
-			case <-time.After(30 * time.Second):
-				p.cmd.Process.Kill()
-				<-p.ended
-				p.note = "it did not end within 30 s. "
-			}
-			if !p.cmd.ProcessState.Success() {
-				p.note += "it ended with " + p.cmd.ProcessState.String() + ". "
-			}
-			for line := range strings.Lines(p.said()) {
+		if p.child != nil {
+			p.note = p.child.Stop(30 * time.Second)
+			for line := range strings.Lines(p.child.Said()) {
 				if strings.Contains(line, "panic") || strings.Contains(line, "not taken") {
-					p.note += strings.TrimSpace(line) + " "
+					p.note += " " + strings.TrimSpace(line)
 				}
 			}
 		}
 		for _, s := range p.services {
 			s.close()
 		}
-		if p.log != nil {
-			p.log.Close()
-		}
 	})
 	return p.note
 }
--- a/internal/pools/limits.go
+++ b/internal/pools/limits.go
@@ -30,15 +30,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, w := range f.Wholes() {
-		parts := map[string]share.Part{}
-		for i := range f.Pools {
-			parts[f.Pools[i].Name] = share.Part(*w.Of(&f.Pools[i]))
-		}
 		var err error
 		if limit := l.all[w.Key]; limit != nil {
-			err = limit.Set(w.Units, parts)
+			err = limit.Set(w.Units, w.Parts(f))
 		} else {
-			l.all[w.Key], err = share.New(w.Units, parts)
+			l.all[w.Key], err = share.New(w.Units, w.Parts(f))
 		}
 		if err != nil {
 			return err
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -172,7 +172,7 @@
 	if loop.Stuck() {
 		return c.reply(busy, last())
 	}
-	sent := func() {}
+	var sent func()
 	if to.Gate != nil {
 		pass, ok := to.Gate.Enter(len(m.Body))
 		if !ok {
