--- a/internal/lab/drill/xdsdrain.go
+++ b/internal/lab/drill/xdsdrain.go
@@ -40,10 +40,8 @@
 	return fmt.Appendf(nil, `{"xds_servers":[{"server_uri":%q,"channel_creds":[{"type":"insecure"}],"server_features":["xds_v3"]}],"node":{"id":"grpc-client"}}`, "passthrough:///"+address)
 }
 
-// sendWeb sends through the lab's proxy until the context ends, and tells how many were sent and how many failed.
-func sendWeb(ctx context.Context, table *proxy.Table) (sent, failed int) {
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
-	defer client.CloseIdleConnections()
+// steadily sends until the context ends, and tells how many were sent and how many failed.
+func steadily(ctx context.Context, send func() bool) (sent, failed int) {
 	tick := time.NewTicker(drainEach)
 	defer tick.Stop()
 	for {
@@ -52,38 +50,37 @@
 		case <-ctx.Done():
 			return
 		}
-		sent++
+		if sent++; !send() {
+			failed++
+		}
+	}
+}
+
+// sendWeb sends through the lab's proxy.
+func sendWeb(ctx context.Context, table *proxy.Table) (sent, failed int) {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	defer client.CloseIdleConnections()
+	return steadily(ctx, func() bool {
 		address, err := table.Pick("web.test", "/x", func(string) string { return "" })
 		if err != nil {
-			failed++
-			continue
+			return false
 		}
 		r, err := client.Get("http://" + address + "/x")
-		if err != nil {
-			failed++
-			continue
+		if err == nil {
+			r.Body.Close()
 		}
-		r.Body.Close()
-	}
+		return err == nil
+	})
 }
 
 // sendRPC sends through gRPC's own client.
 func sendRPC(ctx context.Context, api grpc_health_v1.HealthClient) (sent, failed int) {
-	tick := time.NewTicker(drainEach)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
-		}
-		sent++
+	return steadily(ctx, func() bool {
 		call, cancel := context.WithTimeout(context.Background(), time.Second)
-		if _, err := api.Check(call, &grpc_health_v1.HealthCheckRequest{}); err != nil {
-			failed++
-		}
-		cancel()
-	}
+		defer cancel()
+		_, err := api.Check(call, &grpc_health_v1.HealthCheckRequest{})
+		return err == nil
+	})
 }
 
 func runXDSDrain(ctx context.Context, o Options) (*Outcome, error) {
