--- a/internal/transport/front_test.go
+++ b/internal/transport/front_test.go
@@ -17,6 +17,7 @@
 	"kitewood/balance"
 	"kitewood/internal/protocol"
 	"kitewood/internal/routing"
+	"kitewood/internal/testkit"
 )
 
 // settings are the module's for one class that is safe and one that is not.
@@ -353,3 +354,53 @@
 		t.Errorf("answered %s", status)
 	}
 }
+
+// stuckCarrier never comes back from an attempt.
+type stuckCarrier struct {
+	*Destinations
+	held, free chan struct{}
+}
+
+func (c stuckCarrier) Carry(*routing.Attempt, func(routing.Result)) {
+	close(c.held)
+	<-c.free
+}
+
+// A pool whose loop is stuck is answered busy at once, with advice; what it held has its one answer by its time.
+func TestStuckPoolIsBusy(t *testing.T) {
+	clock := routing.NewClock()
+	loop, err := routing.New(settings(), routing.Names{}, clock, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	loop.Pool(balance.Cached, 1, []routing.Member{{Name: "s", Address: "127.0.0.1:1", State: balance.Ready}})
+	carrier := stuckCarrier{destinations(clock), make(chan struct{}), make(chan struct{})}
+	defer close(carrier.free)
+	go loop.Run(ctx, carrier, NewDirectory(ctx, "127.0.0.1:1", loop, quiet))
+	classes := []protocol.Class{{Name: "look", Methods: []string{"GET"}, Deadline: 2 * time.Second}}
+	f := NewFront(clock, OnePool(&Service{Loop: loop, Advice: time.Second}, classes), Budget{Front: 4, Overflow: 2}, quiet)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go f.Serve(ln)
+	first, firstAnswer := dial(t, ln)
+	io.WriteString(first, look)
+	<-carrier.held
+	testkit.Until(t, "the loop is stuck", loop.Stuck)
+	second, secondAnswer := dial(t, ln)
+	began := time.Now()
+	io.WriteString(second, strings.Replace(look, "Id: 1", "Id: 2", 1))
+	in := textproto.NewReader(secondAnswer)
+	line, _ := in.ReadLine()
+	fields, err := in.ReadMIMEHeader()
+	if !strings.HasPrefix(line, "HTTP/1.1 503 ") || fields.Get("Retry-After") != "1" || time.Since(began) > time.Second {
+		t.Errorf("answered %q after %s: %v, %v", line, time.Since(began), fields, err)
+	}
+	if status, _ := answer(t, firstAnswer); status != "502" {
+		t.Errorf("what the stuck loop held was answered %s", status)
+	}
+}
