--- a/balance/guard.go
+++ b/balance/guard.go
@@ -362,18 +362,14 @@
 
 // Probed takes the answer to a probe.
 func (b *Balancer) Probed(now time.Duration, id ServerID, lag time.Duration, status Status, load []float32) {
-	s := b.servers[id]
-	if s == nil {
-		return
-	}
-	s.probing = false
-	if b.set.Report.Via != NoReports {
-		b.readReport(s, load, now)
+	if s := b.servers[id]; s != nil {
+		s.probing = false
 	}
+	failed := -1.0 // an answer tells of its load alone
 	if status != OK && status != Moot {
-		b.read(s, 1, now)
-		b.judge(s, 1, now)
+		failed = 1
 	}
+	b.Observed(now, id, failed, load)
 }
 
 // probeOnBudget asks for reports where only probes bring them: a small share of the requests, in turn.
