kitewood-lab proxies: other proxies in the sidecars' places, beside kitewood

Need: the issue asks whether proxies with the control service's weights do better than proxies on round robin or least request, and how kitewood sidecars do beside them.

Change: package dataplane is a proxy process on the platform's protocol (round robin, least request of two, weights over xDS with load reports); the emulator starts it in place of sidecars, and one kitewood-control for all tiers. What the service is told counts as told to its proxies at once.

--- a/cmd/kitewood-lab/run.go
+++ b/cmd/kitewood-lab/run.go
@@ -23,6 +23,7 @@
 	scenario *scenario.Scenario
 	seed     uint64
 	binary   string
+	proxies  *emulator.Proxies
 	out      string
 	log      *slog.Logger
 	progress func(emulator.Progress)
@@ -34,7 +35,7 @@
 	if dir, err = results.Folder(p.out, p.scenario.Name, p.seed, started); err != nil {
 		return
 	}
-	r, err := emulator.Run(ctx, emulator.Options{Scenario: p.scenario, Seed: p.seed, Binary: p.binary, Dir: dir, Log: p.log,
+	r, err := emulator.Run(ctx, emulator.Options{Scenario: p.scenario, Seed: p.seed, Binary: p.binary, Proxies: p.proxies, Dir: dir, Log: p.log,
 		Progress: p.progress})
 	if r == nil {
 		return dir, nil, nil, err
@@ -164,7 +165,7 @@
 			}
 			defer os.RemoveAll(dir)
 			w := c.Root().Writer
-			_, err = emulator.Run(ctx, emulator.Options{Scenario: s, Seed: p.seed, Binary: p.binary, Dir: dir, Log: p.log, Idle: true,
+			_, err = emulator.Run(ctx, emulator.Options{Scenario: s, Seed: p.seed, Binary: p.binary, Proxies: p.proxies, Dir: dir, Log: p.log, Idle: true,
 				Ready: func(addresses []string) {
 					class := s.Classes[0]
 					method := ""
--- a/cmd/kitewood-lab/show.go
+++ b/cmd/kitewood-lab/show.go
@@ -15,6 +15,7 @@
 	"kitewood/internal/lab/emulator"
 	"kitewood/internal/lab/ledger"
 	"kitewood/internal/lab/load"
+	"kitewood/internal/lab/report"
 	"kitewood/internal/lab/results"
 )
 
@@ -114,3 +115,54 @@
 func f1(v float64) string { return fmt.Sprintf("%.1f", v) }
 func f2(v float64) string { return fmt.Sprintf("%.2f", v) }
 func f3(v float64) string { return fmt.Sprintf("%.3f", v) }
+
+// proxyTable shows a comparison of proxies.
+func proxyTable(w io.Writer, rows *results.Table) {
+	t := newTable(w, "scenario", "who decides", "service", "±", "worst 10 s", "p50 ms", "p99 ms", "attempts/operation", "broken rules")
+	for _, scenario := range rows.Scenarios {
+		for _, policy := range rows.Policies {
+			row := []any{scenario, policy}
+			service, err := rows.Mean(scenario, policy, func(s *results.Summary) float64 { return s.Service.Service })
+			row = append(row, f3(service), f3(err))
+			for _, f := range []struct {
+				of   func(*results.Summary) float64
+				form string
+			}{
+				{func(s *results.Summary) float64 { return s.Service.WorstWindow }, "%.3f"},
+				{func(s *results.Summary) float64 { return s.Latency.P50 }, "%.0f"},
+				{func(s *results.Summary) float64 { return s.Latency.P99 }, "%.0f"},
+				{func(s *results.Summary) float64 { return s.Service.PerCall }, "%.2f"},
+			} {
+				mean, _ := rows.Mean(scenario, policy, f.of)
+				row = append(row, fmt.Sprintf(f.form, mean))
+			}
+			broken := ""
+			for _, name := range ledger.RuleNames {
+				if n := rows.Rules(scenario, policy)[name]; n > 0 {
+					broken += fmt.Sprintf("%s %d ", name, n)
+				}
+			}
+			t.AppendRow(append(row, broken))
+		}
+		t.AppendSeparator()
+	}
+	t.Render()
+}
+
+// chartProxies draws the services of a comparison of proxies into a file.
+func chartProxies(path string, rows *results.Table) error {
+	var bars []report.Bars
+	for _, policy := range rows.Policies {
+		b := report.Bars{Name: policy}
+		for _, scenario := range rows.Scenarios {
+			mean, err := rows.Mean(scenario, policy, func(s *results.Summary) float64 { return s.Service.Service })
+			b.Values, b.Errors = append(b.Values, mean), append(b.Errors, err)
+		}
+		bars = append(bars, b)
+	}
+	svg, err := report.Groups("service, with standard errors", rows.Scenarios, bars)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, svg, 0o644)
+}
--- /dev/null
+++ b/internal/lab/dataplane/weighted.go
@@ -0,0 +1,57 @@
+package dataplane
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+
+	"kitewood/internal/lab/proxy"
+)
+
+// Host is what a proxy of a pool asks the control service's routes for.
+func Host(pool string) string { return pool + ".lab" }
+
+// weighted are the destinations that a control service hands out over xDS.
+type weighted struct {
+	pool  string
+	table *proxy.Table
+	loads *proxy.Tracker
+	port  string // at which this proxy reaches instances
+}
+
+// newWeighted follows a control service.
+func newWeighted(ctx context.Context, c config, o Options) (*weighted, error) {
+	if len(c.Known.Endpoints) == 0 {
+		return nil, errors.New("the known list is empty: it tells the port at which this proxy reaches instances")
+	}
+	// The lab knows proxies by the ports that they send to, one for each. The control service's list has its own.
+	_, port, err := net.SplitHostPort(c.Known.Endpoints[0].Address)
+	if err != nil {
+		return nil, err
+	}
+	w := &weighted{pool: o.Pool, table: proxy.NewTable(), loads: proxy.NewTracker(), port: port}
+	client := &proxy.Client{Node: c.Name, Servers: []string{o.Control}, Delta: true, Table: w.table, Loads: w.loads, Log: o.Log}
+	go client.Run(ctx)
+	return w, nil
+}
+
+func (w *weighted) ready() bool { return w.table.Ready(w.pool) }
+
+func (w *weighted) pick(tried []string) (string, func(bool, map[string]float64)) {
+	none := func(string) string { return "" }
+	for range 2 * (len(tried) + 1) { // the rotation moves on: another comes, if there is one
+		named, err := w.table.Pick(Host(w.pool), "/", none)
+		if err != nil {
+			return "", nil
+		}
+		host, _, err := net.SplitHostPort(named)
+		if err != nil {
+			return "", nil
+		}
+		if at := net.JoinHostPort(host, w.port); !slices.Contains(tried, at) {
+			return at, w.loads.Begin(w.pool, named)
+		}
+	}
+	return "", nil
+}
--- /dev/null
+++ b/internal/lab/emulator/proxies.go
@@ -0,0 +1,125 @@
+package emulator
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+
+	"github.com/goccy/go-yaml"
+
+	"kitewood/internal/lab/child"
+	"kitewood/internal/lab/dataplane"
+	"kitewood/internal/lab/ledger"
+	"kitewood/internal/lab/scenario"
+)
+
+// Proxies put other proxies in the place of kitewood sidecars: see package dataplane.
+type Proxies struct {
+	Policy  string // one of dataplane.Policies
+	Program string // kitewood-lab, whose command proxy they are
+	Control string // kitewood-control, for dataplane.Weighted
+}
+
+// controls is the run's control service. It watches discovery as a sidecar of each tier would.
+type controls struct {
+	process *child.Child
+	address string
+	places  []*sidecar // by tier; they have no process
+}
+
+// check refuses what proxies cannot play.
+func (p *Proxies) check(plan *scenario.Plan) error {
+	for _, e := range plan.Events {
+		if e.Do == scenario.MoveDiscovery {
+			return fmt.Errorf("the scenario moves discovery at %s: only kitewood sidecars follow it", e.At)
+		}
+	}
+	return nil
+}
+
+// command is the command line of a sidecar's place.
+func (w *World) command(s *sidecar) (program string, args []string) {
+	if w.proxies == nil {
+		return w.binary, []string{"serve"}
+	}
+	args = []string{"proxy", "--policy", w.proxies.Policy}
+	if w.controls != nil {
+		args = append(args, "--control", w.controls.address, "--pool", w.s.Tiers[s.tier].Name)
+	}
+	return w.proxies.Program, args
+}
+
+// startControl starts the control service with a pool for each tier.
+func (w *World) startControl() error {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	c := &controls{address: free.Addr().String()}
+	free.Close()
+	type object = map[string]any
+	var classes, pools, routes []object
+	for _, x := range w.s.Classes {
+		classes = append(classes, object{"name": x.Name, "effect": x.Effect, "aim": x.Aim.D().String(), "deadline": x.GiveUp.D().String(), "worth": x.Worth})
+	}
+	for t := range w.s.Tiers {
+		tier := &w.s.Tiers[t]
+		place := w.newSidecar("control@"+tier.Name, t, 0, 1)
+		if err := w.registry.admit(place); err != nil {
+			return err
+		}
+		c.places = append(c.places, place)
+		reports := object{"via": "none"}
+		if len(tier.Reports.Fields) > 0 {
+			reports = object{"via": "answers", "fields": []string{"util", "inflight", "qps"}}
+		}
+		pools = append(pools, object{"name": tier.Name, "members": object{"discovery": w.registry.address(place)}, "classes": classes,
+			"zone": w.s.Zone, "zones": []string{w.s.Zone}, "reports": reports,
+			"cold": object{"share": tier.Cold.Share, "time": tier.Cold.Time.D().String(), "multiple": tier.Cold.Multiple, "window": tier.Cold.Window.D().String()}})
+		routes = append(routes, object{"hosts": []string{dataplane.Host(tier.Name)}, "pool": tier.Name})
+	}
+	text, err := yaml.Marshal(object{"name": "lab", "plaintext": true, "listeners": []object{{"address": c.address}}, "pools": pools, "routes": routes})
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(w.dir, "control.yaml")
+	if err := os.WriteFile(path, text, 0o644); err != nil {
+		return err
+	}
+	if c.process, err = child.Start(filepath.Join(w.dir, "control.log"), nil, w.proxies.Control, "serve", "--config", path); err != nil {
+		return err
+	}
+	w.controls = c
+	return nil
+}
+
+// stopControl ends the control service.
+func (w *World) stopControl() {
+	if w.controls == nil {
+		return
+	}
+	select {
+	case <-w.controls.process.Ended:
+		w.book.Add(ledger.Entry{Kind: ledger.Crashed, Sidecar: "control", Note: w.controls.process.Said()})
+	default:
+		w.controls.process.Kill()
+	}
+	w.controls = nil
+}
+
+// hear are the names of those who are told what discovery tells a sidecar: where that is the control service's place, it is
+// all proxies of the tier, as they hear from nobody else.
+func (w *World) hear(s *sidecar) []string {
+	if w.controls == nil || w.controls.places[s.tier] != s {
+		return []string{s.name}
+	}
+	var names []string
+	_, all := w.here()
+	for _, o := range all {
+		if o.tier == s.tier {
+			names = append(names, o.name)
+		}
+	}
+	return names
+}
--- a/internal/lab/emulator/registry.go
+++ b/internal/lab/emulator/registry.go
@@ -297,8 +297,10 @@
 		} else {
 			known[m.Name] = m
 		}
-		r.w.book.Add(ledger.Entry{Kind: ledger.Told, Tier: s.tier, Sidecar: s.name, Instance: m.Name,
-			Outcome: string(m.Status), Since: m.Since})
+		for _, name := range r.w.hear(s) {
+			r.w.book.Add(ledger.Entry{Kind: ledger.Told, Tier: s.tier, Sidecar: name, Instance: m.Name,
+				Outcome: string(m.Status), Since: m.Since})
+		}
 	}
 	in := map[string]bool{}
 	for _, m := range u.Members {
--- a/internal/lab/emulator/sidecar.go
+++ b/internal/lab/emulator/sidecar.go
@@ -88,11 +88,11 @@
 		return err
 	}
 	defer log.Close()
-	args := []string{"serve"}
-	if s.w.log.Enabled(context.Background(), slog.LevelDebug) { // for kitewood-lab count
+	program, args := s.w.command(s)
+	if s.w.proxies == nil && s.w.log.Enabled(context.Background(), slog.LevelDebug) { // for kitewood-lab count
 		args = append(args, "--log-level", "debug")
 	}
-	p := &process{cmd: exec.Command(s.w.binary, args...), ended: make(chan struct{})}
+	p := &process{cmd: exec.Command(program, args...), ended: make(chan struct{})}
 	p.cmd.Env = append(append(os.Environ(), s.w.env...), "ROUTER_CONFIG="+s.file("json"))
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := s.w.starter.Start(p.cmd); err != nil {
--- a/internal/lab/emulator/world.go
+++ b/internal/lab/emulator/world.go
@@ -19,6 +19,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"kitewood/internal/lab/child"
+	"kitewood/internal/lab/dataplane"
 	"kitewood/internal/lab/ledger"
 	"kitewood/internal/lab/model"
 	"kitewood/internal/lab/scenario"
@@ -29,6 +30,7 @@
 	Scenario *scenario.Scenario
 	Seed     uint64
 	Binary   string   // kitewood
+	Proxies  *Proxies // in place of it; nil for none
 	Env      []string // of the sidecars, beside this process's
 	Dir      string   // for configuration files and logs of sidecars; it is made
 	Log      *slog.Logger
@@ -73,6 +75,8 @@
 	seed     uint64
 	plan     *scenario.Plan
 	binary   string
+	proxies  *Proxies
+	controls *controls
 	env      []string
 	dir      string
 	log      *slog.Logger
@@ -105,10 +109,15 @@
 func Run(ctx context.Context, o Options) (*Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w := &World{s: o.Scenario, seed: o.Seed, plan: o.Scenario.Lay(o.Seed), binary: o.Binary, env: o.Env, dir: o.Dir, log: o.Log,
+	w := &World{s: o.Scenario, seed: o.Seed, plan: o.Scenario.Lay(o.Seed), binary: o.Binary, proxies: o.Proxies, env: o.Env, dir: o.Dir, log: o.Log,
 		tasks: &tasks{}, instances: map[string]*instance{}, indexes: make([]int, len(o.Scenario.Tiers)),
 		cancel: cancel, over: ctx.Done(), starter: child.NewStarter()}
 	defer w.starter.Close()
+	if w.proxies != nil {
+		if err := w.proxies.check(w.plan); err != nil {
+			return nil, err
+		}
+	}
 	w.caller = &caller{w: w, prefix: rand.Uint64()}
 	w.book = ledger.NewBook()
 	if err := os.MkdirAll(filepath.Join(w.dir, "sidecars"), 0o755); err != nil {
@@ -175,6 +184,11 @@
 // up starts all that is there from the beginning: the last tier first.
 func (w *World) up() error {
 	w.registry = newRegistry(w)
+	if w.proxies != nil && w.proxies.Policy == dataplane.Weighted {
+		if err := w.startControl(); err != nil {
+			return err
+		}
+	}
 	byTier := make([][]scenario.Machine, len(w.s.Tiers))
 	for _, m := range w.plan.Machines {
 		byTier[m.Tier] = append(byTier[m.Tier], m)
@@ -326,6 +340,7 @@
 		i.do(i.down)
 	}
 	ending.Wait()
+	w.stopControl()
 	if w.registry != nil {
 		w.registry.close()
 		w.registry = nil
