Control service: least request, refusals, and full endpoints are not ejected

Nothing is refused, and clients ask again.

Change: clusters offer least request with a bias of three before round robin; an endpoint that still serves a tenth of the mean is full, not broken; the share to refuse follows from the module's pressure and goes out as drop overloads, at pools whose callers are clients (inner: true for the others).

--- a/balance/guard.go
+++ b/balance/guard.go
@@ -477,7 +477,7 @@
 		band /= 2
 	}
 	p := b.pressure(now)
-	if p <= from || b.rng.Float64() > (p-from)/band {
+	if p <= from || b.rng.Float64() > chance(p, from, band) {
 		return 0, false
 	}
 	b.shed = true
@@ -488,6 +488,9 @@
 	return b.retryAfter(), true
 }
 
+// chance is how likely what comes is refused at a pressure.
+func chance(pressure, from, band float64) float64 { return min(max((pressure-from)/band, 0), 1) }
+
 // rankClasses finds the classes of so much worth per work that the goal gains more from serving them whole
 // than from serving all evenly.
 func (b *Balancer) rankClasses(now time.Duration) {
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -519,3 +519,29 @@
 	}
 	return c.log
 }
+
+// The share that others are to refuse follows the latency that is foretold, and is none behind the clients' tier.
+func TestRefusalForOthers(t *testing.T) {
+	set := settings()
+	for _, c := range []struct {
+		tier         int
+		open, served float64
+		least, most  float64
+	}{
+		{0, 100, 100, 0, 0}, // a second, of an aim of two and a half
+		{0, 5, 0, 0, 0},     // too few open to tell
+		{0, 300, 320, 0.1, 0.9},
+		{0, 1000, 100, 1, 1},
+		{0, 1000, 0, 1, 1},
+		{1, 1000, 100, 0, 0},
+	} {
+		set.Tier = c.tier
+		b, err := New(set, &recorder{}, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := b.Refusal(c.open, c.served); got < c.least || got > c.most {
+			t.Errorf("%+v: %g", c, got)
+		}
+	}
+}
--- a/cmd/kitewood-lab/main_test.go
+++ b/cmd/kitewood-lab/main_test.go
@@ -80,6 +80,19 @@
 	}
 }
 
+// Other proxies take the sidecars' places on real sockets, keep the rules on a calm day and stand in the table.
+func TestProxies(t *testing.T) {
+	chart := filepath.Join(t.TempDir(), "chart.svg")
+	out, err, ok := call(t, "proxies", "--seeds", "1", "--duration", "4s", "--policy", "weighted", "--policy", "least-request", "--out", t.TempDir(),
+		"--chart", chart, "calm")
+	if !ok || strings.Count(err, "service 0.") != 2 || !strings.Contains(out, "weighted") || !strings.Contains(out, "least-request") {
+		t.Errorf("%s%s", out, err)
+	}
+	if text, err := os.ReadFile(chart); err != nil || !strings.Contains(string(text), "least-request") {
+		t.Errorf("the chart: %v", err)
+	}
+}
+
 func TestBadUse(t *testing.T) {
 	for _, c := range []struct{ want, args string }{
 		{"no scenario none", "run none"}, {"run takes one scenario, not 0", "run"}, {`no drill "none"`, "drill none"},
@@ -87,6 +100,7 @@
 		{"--mix: WEIGHT METHOD TARGET", "load --url http://127.0.0.1:1 --rate 1 --duration 1s --mix x"}, {"neither", "load --url http://127.0.0.1:1 --rate 1 --duration 1s --shape none"},
 		{"no such file", "replay --url http://127.0.0.1:1 none"}, {"two folders or two programs", "compare a"}, {"is no program", "--kitewood none run calm"},
 		{"--log-level", "--log-level loud run calm"}, {"at least one folder", "report"},
+		{`no policy "none"`, "proxies --policy none"}, {"at least 1", "proxies --seeds 0"}, {"ROUTER_CONFIG is not set", "proxy"},
 	} {
 		if out, err, ok := call(t, strings.Fields(c.args)...); ok || !strings.Contains(err, c.want) || strings.Count(err, "\n") != 1 {
 			t.Errorf("%s: %q %q, want %q", c.args, out, err, c.want)
--- a/internal/config/resolve.go
+++ b/internal/config/resolve.go
@@ -64,6 +64,9 @@
 		Ask:           p.Members.Discovery != "",
 		UnitsMeanSize: true,
 	}
+	if p.Inner {
+		s.Tier = 1
+	}
 	for _, name := range p.Reports.Fields {
 		s.Report.Fields = append(s.Report.Fields, fields[name])
 	}
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -75,6 +75,8 @@
 	Connections Connections `yaml:"connections,omitempty"`
 	// Shares of the process's limits.
 	Shares Shares `yaml:"shares,omitempty"`
+	// Inner says that the callers are services, not clients: nothing is refused because answers are foretold late, as what the caller has done would be lost.
+	Inner bool `yaml:"inner,omitempty"`
 }
 
 // Members are a list's source: exactly one of the two is given.
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -106,7 +106,7 @@
 		{view(balance.Ready, time.Second, false), core.HealthStatus_UNHEALTHY, 150},
 		{view(balance.Draining, 0, false), core.HealthStatus_DRAINING, 150},
 	} {
-		r, err := endpointsOf(p, c.v)
+		r, err := endpointsOf(p, c.v, 0)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -126,6 +126,34 @@
 	}
 }
 
+// The share of refusals follows what the module wants over about a second, leaves some to pass, and is told in the protocol's form.
+func TestRefusals(t *testing.T) {
+	var r refusal
+	for n := range 100 {
+		r.take(time.Duration(n)*100*time.Millisecond, 1)
+		if n == 3 && (r.percent() < 10 || r.percent() > 50) {
+			t.Errorf("%d%% after 0.3 s", r.percent())
+		}
+	}
+	if r.percent() != 100*refusalMost {
+		t.Errorf("%d%% in the end", r.percent())
+	}
+	v := routing.View{Index: 1, Destinations: []routing.DestinationView{{Name: "a", Address: "127.0.0.1:1", ServerView: balance.ServerView{State: balance.Ready, Weight: 1}}}}
+	for _, percent := range []uint32{0, 40} {
+		x, err := endpointsOf(&config.Pool{Name: "p"}, v, percent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var a endpoint.ClusterLoadAssignment
+		if err := x.Body.UnmarshalTo(&a); err != nil {
+			t.Fatal(err)
+		}
+		if drops := a.GetPolicy().GetDropOverloads(); percent == 0 && drops != nil || percent > 0 && drops[0].DropPercentage.Numerator != percent {
+			t.Errorf("%d%%: %v", percent, drops)
+		}
+	}
+}
+
 func watch(t *testing.T) *filewatch.Watcher {
 	t.Helper()
 	w, err := filewatch.New(t.Context(), slog.New(slog.DiscardHandler))
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -35,6 +35,11 @@
 		}
 	}
 	p.loop.Observe(all)
+	open, served := 0.0, 0.0
+	for _, x := range merged {
+		open, served = open+x.Inflight, served+x.QPS
+	}
+	p.loop.Refusal(open, served, func(share float64) { p.refusal.take(now, share) })
 }
 
 // Leave forgets a proxy.
--- a/internal/control/resources.go
+++ b/internal/control/resources.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"math"
 	"net/netip"
 	"slices"
@@ -16,7 +17,12 @@
 	routes "github.com/envoyproxy/go-control-plane/envoy/config/route/v3"
 	router "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/http/router/v3"
 	hcm "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/network/http_connection_manager/v3"
+	leastrequest "github.com/envoyproxy/go-control-plane/envoy/extensions/load_balancing_policies/least_request/v3"
+	roundrobin "github.com/envoyproxy/go-control-plane/envoy/extensions/load_balancing_policies/round_robin/v3"
+	wrrlocality "github.com/envoyproxy/go-control-plane/envoy/extensions/load_balancing_policies/wrr_locality/v3"
 	matcher "github.com/envoyproxy/go-control-plane/envoy/type/matcher/v3"
+	typev3 "github.com/envoyproxy/go-control-plane/envoy/type/v3"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/anypb"
 	"google.golang.org/protobuf/types/known/durationpb"
 	"google.golang.org/protobuf/types/known/wrapperspb"
@@ -41,14 +47,39 @@
 		ConfigSourceSpecifier: &core.ConfigSource_Ads{Ads: &core.AggregatedConfigSource{}}}
 }
 
+// activeBias is the power to which least request raises the requests that are out, and one, before it divides the weight by
+// them. By the first power alone a dozen proxies go on filling a queue that has stopped.
+const activeBias = 3
+
+// policies are the ways of choosing, the best first: a proxy takes the first that it knows. Weights go by what was reported a
+// second ago; own requests that are out at an endpoint tell at once that it has slowed down, so least request, which divides
+// the weight by them, comes first.
+func policies() (*cluster.LoadBalancingPolicy, error) {
+	in := func(name string, m proto.Message) (*cluster.LoadBalancingPolicy_Policy, error) {
+		body, err := anypb.New(m)
+		return &cluster.LoadBalancingPolicy_Policy{TypedExtensionConfig: &core.TypedExtensionConfig{Name: name, TypedConfig: body}}, err
+	}
+	least, err1 := in("envoy.load_balancing_policies.least_request", &leastrequest.LeastRequest{
+		ActiveRequestBias: &core.RuntimeDouble{DefaultValue: activeBias, RuntimeKey: "kitewood.active_request_bias"}})
+	even, err2 := in("envoy.load_balancing_policies.round_robin", &roundrobin.RoundRobin{})
+	zones, err3 := in("envoy.load_balancing_policies.wrr_locality", &wrrlocality.WrrLocality{
+		EndpointPickingPolicy: &cluster.LoadBalancingPolicy{Policies: []*cluster.LoadBalancingPolicy_Policy{even}}})
+	return &cluster.LoadBalancingPolicy{Policies: []*cluster.LoadBalancingPolicy_Policy{least, zones}}, errors.Join(err1, err2, err3)
+}
+
 // clusterOf is the cluster of a pool.
 func clusterOf(p *config.Pool) (*xds.Resource, error) {
+	choose, err := policies()
+	if err != nil {
+		return nil, err
+	}
 	return xds.NewResource(p.Name, 0, &cluster.Cluster{
 		Name:                 p.Name,
 		ClusterDiscoveryType: &cluster.Cluster_Type{Type: cluster.Cluster_EDS},
 		EdsClusterConfig:     &cluster.Cluster_EdsClusterConfig{EdsConfig: ads()},
 		ConnectTimeout:       durationpb.New(p.Connections.Timeout.D()),
-		LbPolicy:             cluster.Cluster_ROUND_ROBIN,
+		LbPolicy:             cluster.Cluster_ROUND_ROBIN, // for proxies that do not know the next field
+		LoadBalancingPolicy:  choose,
 		LrsServer: &core.ConfigSource{ResourceApiVersion: core.ApiVersion_V3,
 			ConfigSourceSpecifier: &core.ConfigSource_Self{Self: &core.SelfConfigSource{TransportApiVersion: core.ApiVersion_V3}}},
 	})
@@ -56,7 +87,7 @@
 
 // endpointsOf are the endpoints of a pool as its module sees them. Those that take nothing new stay named until they are
 // gone, with a status that says so: a proxy that only sees them missing may break off what is out there.
-func endpointsOf(p *config.Pool, v routing.View) (*xds.Resource, error) {
+func endpointsOf(p *config.Pool, v routing.View, refused uint32) (*xds.Resource, error) {
 	zones := map[string]*endpoint.LocalityLbEndpoints{}
 	safety := xxhash.New()
 	for _, d := range v.Destinations { // by name
@@ -82,6 +113,10 @@
 		})
 	}
 	a := &endpoint.ClusterLoadAssignment{ClusterName: p.Name}
+	if refused > 0 {
+		a.Policy = &endpoint.ClusterLoadAssignment_Policy{DropOverloads: []*endpoint.ClusterLoadAssignment_Policy_DropOverload{{
+			Category: "kitewood", DropPercentage: &typev3.FractionalPercent{Numerator: refused, Denominator: typev3.FractionalPercent_HUNDRED}}}}
+	}
 	for _, z := range zones {
 		sum := uint32(0)
 		for _, e := range z.LbEndpoints {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -57,6 +57,7 @@
 	watch   routing.Directory
 	carrier *transport.Destinations
 	dirty   chan struct{}
+	refusal refusal
 }
 
 // Start reads lists, starts the pools of a configuration and publishes to a hub until the context ends. On an error, too,
@@ -158,7 +159,7 @@
 	if v.Index == 0 && len(v.Destinations) == 0 {
 		return // no list has come
 	}
-	r, err := endpointsOf(p.conf, v)
+	r, err := endpointsOf(p.conf, v, p.refusal.percent())
 	if err != nil {
 		s.log.Error("endpoints", "pool", p.conf.Name, "error", err)
 		return
--- a/internal/lab/dataplane/forward.go
+++ b/internal/lab/dataplane/forward.go
@@ -56,6 +56,11 @@
 		out.WriteHeader(http.StatusRequestEntityTooLarge)
 		return
 	}
+	if f.picker.drops() {
+		out.Header().Set("Retry-After", "1")
+		out.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	var tried []string
 	for len(tried) < attempts && ctx.Err() == nil {
 		at, end := f.picker.pick(tried)
--- a/internal/lab/dataplane/members.go
+++ b/internal/lab/dataplane/members.go
@@ -17,6 +17,8 @@
 type picker interface {
 	// ready tells whether there is anything to choose from.
 	ready() bool
+	// drops tells whether the next request is to be refused.
+	drops() bool
 	// pick finds a destination that is not among those tried, "" if there is none. end is told how it went.
 	pick(tried []string) (address string, end func(ok bool, load map[string]float64))
 }
@@ -125,6 +127,8 @@
 	return len(m.open) > 0
 }
 
+func (m *members) drops() bool { return false }
+
 func (m *members) pick(tried []string) (string, func(bool, map[string]float64)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/lab/dataplane/weighted.go
+++ b/internal/lab/dataplane/weighted.go
@@ -31,6 +31,7 @@
 		return nil, err
 	}
 	w := &weighted{pool: o.Pool, table: proxy.NewTable(), loads: proxy.NewTracker(), port: port}
+	w.table.Busy = w.loads.Busy
 	client := &proxy.Client{Node: c.Name, Servers: []string{o.Control}, Delta: true, Table: w.table, Loads: w.loads, Log: o.Log}
 	go client.Run(ctx)
 	return w, nil
@@ -38,6 +39,8 @@
 
 func (w *weighted) ready() bool { return w.table.Ready(w.pool) }
 
+func (w *weighted) drops() bool { return w.table.Drops(w.pool) }
+
 func (w *weighted) pick(tried []string) (string, func(bool, map[string]float64)) {
 	none := func(string) string { return "" }
 	for range 2 * (len(tried) + 1) { // the rotation moves on: another comes, if there is one
--- a/internal/lab/emulator/proxies.go
+++ b/internal/lab/emulator/proxies.go
@@ -74,7 +74,7 @@
 		if len(tier.Reports.Fields) > 0 {
 			reports = object{"via": "answers", "fields": []string{"util", "inflight", "qps"}}
 		}
-		pools = append(pools, object{"name": tier.Name, "members": object{"discovery": w.registry.address(place)}, "classes": classes,
+		pools = append(pools, object{"name": tier.Name, "members": object{"discovery": w.registry.address(place)}, "classes": classes, "inner": t > 0,
 			"zone": w.s.Zone, "zones": []string{w.s.Zone}, "reports": reports,
 			"cold": object{"share": tier.Cold.Share, "time": tier.Cold.Time.D().String(), "multiple": tier.Cold.Multiple, "window": tier.Cold.Window.D().String()}})
 		routes = append(routes, object{"hosts": []string{dataplane.Host(tier.Name)}, "pool": tier.Name})
--- a/internal/lab/proxy/load.go
+++ b/internal/lab/proxy/load.go
@@ -40,6 +40,13 @@
 	return e
 }
 
+// Busy tells how many requests are out at an endpoint.
+func (t *Tracker) Busy(cluster, address string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return int(t.stats[cluster][address].GetTotalRequestsInProgress())
+}
+
 // Begin counts a request that goes out. The function that it returns counts its end, with the metrics that the answer told.
 func (t *Tracker) Begin(cluster, address string) (end func(ok bool, metrics map[string]float64)) {
 	t.mu.Lock()
--- a/internal/lab/proxy/stream.go
+++ b/internal/lab/proxy/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -11,6 +12,7 @@
 
 	cluster "github.com/envoyproxy/go-control-plane/envoy/config/cluster/v3"
 	core "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	leastrequest "github.com/envoyproxy/go-control-plane/envoy/extensions/load_balancing_policies/least_request/v3"
 	discovery "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
 	"google.golang.org/genproto/googleapis/rpc/status"
 	"google.golang.org/grpc"
@@ -42,6 +44,27 @@
 	versions map[string]map[string]string // delta: of each resource, by type
 	whole    map[string]string            // state of the world: of each type
 	clusters []string
+	least    map[string]float64 // by cluster: the bias of least request, 0 where it does not ask for it
+}
+
+// leastRequest tells whether the first policy of a cluster that this proxy knows is least request, by its bias; 0 if it is not.
+func leastRequest(x *cluster.Cluster) float64 {
+	for _, p := range x.GetLoadBalancingPolicy().GetPolicies() {
+		switch p.GetTypedExtensionConfig().GetName() {
+		case "envoy.load_balancing_policies.least_request":
+			var c leastrequest.LeastRequest
+			if p.TypedExtensionConfig.TypedConfig.UnmarshalTo(&c) == nil && c.ActiveRequestBias != nil {
+				return c.ActiveRequestBias.DefaultValue
+			}
+			return 1
+		case "envoy.load_balancing_policies.round_robin", "envoy.load_balancing_policies.wrr_locality":
+			return 0
+		}
+	}
+	if x.LbPolicy == cluster.Cluster_LEAST_REQUEST {
+		return 1
+	}
+	return 0
 }
 
 // Run follows the service until the context ends.
@@ -217,24 +240,21 @@
 func (c *Client) apply(typeURL string, bodies []*anypb.Any, removed []string, whole bool) error {
 	switch typeURL {
 	case xds.TypeCluster:
-		var names []string
-		if !whole {
-			for _, name := range c.clusters {
-				if !slices.Contains(removed, name) {
-					names = append(names, name)
-				}
-			}
+		if whole || c.least == nil {
+			c.least = map[string]float64{}
+		}
+		for _, name := range removed {
+			delete(c.least, name)
 		}
 		for _, b := range bodies {
 			var x cluster.Cluster
 			if err := b.UnmarshalTo(&x); err != nil {
 				return err
 			}
-			names = append(names, x.Name)
+			c.least[x.Name] = leastRequest(&x)
 		}
-		slices.Sort(names)
-		c.clusters = slices.Compact(names)
-		c.Table.SetClusters(c.clusters)
+		c.clusters = slices.Sorted(maps.Keys(c.least))
+		c.Table.SetClusters(c.least)
 	case xds.TypeEndpoint:
 		return each(bodies, c.Table.SetEndpoints)
 	case xds.TypeRoute:
--- a/internal/lab/proxy/table.go
+++ b/internal/lab/proxy/table.go
@@ -5,6 +5,9 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"strings"
@@ -13,6 +16,7 @@
 	core "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 	endpoint "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
 	routes "github.com/envoyproxy/go-control-plane/envoy/config/route/v3"
+	typev3 "github.com/envoyproxy/go-control-plane/envoy/type/v3"
 )
 
 // Endpoint is where a request can go, with its turn in the weighted round robin.
@@ -24,17 +28,23 @@
 
 // Table is what a proxy was told. Any goroutine may call it.
 type Table struct {
+	// Busy tells how many of the proxy's requests are out at an endpoint of a cluster. With it, clusters that ask for least
+	// request get it, as Envoy has it: an endpoint's weight at its turn is divided by those and one, raised to the cluster's bias. It is set before
+	// the Table is used.
+	Busy func(cluster, address string) int
+
 	mu        sync.Mutex
 	routes    *routes.RouteConfiguration
-	clusters  map[string]bool
+	clusters  map[string]float64     // the bias of least request of each, 0 where it does not ask for it
 	endpoints map[string][]*Endpoint // that take new requests, by cluster
 	turn      map[string]float64
-	emptied   int // times that a cluster that had endpoints was left with none
+	drops     map[string]float64 // share that is refused, by cluster
+	emptied   int                // times that a cluster that had endpoints was left with none
 }
 
 // NewTable returns an empty Table.
 func NewTable() *Table {
-	return &Table{clusters: map[string]bool{}, endpoints: map[string][]*Endpoint{}, turn: map[string]float64{}}
+	return &Table{clusters: map[string]float64{}, endpoints: map[string][]*Endpoint{}, turn: map[string]float64{}, drops: map[string]float64{}}
 }
 
 // SetRoutes takes a route configuration.
@@ -48,14 +58,11 @@
 	return nil
 }
 
-// SetClusters takes the clusters there are.
-func (t *Table) SetClusters(names []string) {
+// SetClusters takes the clusters there are, each with the bias of least request, 0 where it does not ask for that.
+func (t *Table) SetClusters(least map[string]float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	clear(t.clusters)
-	for _, name := range names {
-		t.clusters[name] = true
-	}
+	t.clusters = maps.Clone(least)
 }
 
 // SetEndpoints takes the endpoints of a cluster. Those that are not healthy get nothing new.
@@ -89,6 +96,13 @@
 		t.emptied++
 	}
 	t.endpoints[a.ClusterName] = list
+	pass := 1.0 // categories are drawn one after the other
+	for _, d := range a.GetPolicy().GetDropOverloads() {
+		of := map[typev3.FractionalPercent_DenominatorType]float64{typev3.FractionalPercent_HUNDRED: 100, typev3.FractionalPercent_TEN_THOUSAND: 1e4,
+			typev3.FractionalPercent_MILLION: 1e6}[d.GetDropPercentage().GetDenominator()]
+		pass *= 1 - float64(d.GetDropPercentage().GetNumerator())/of
+	}
+	t.drops[a.ClusterName] = 1 - pass
 	return nil
 }
 
@@ -103,7 +117,15 @@
 func (t *Table) Ready(cluster string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.routes != nil && t.clusters[cluster] && len(t.endpoints[cluster]) > 0
+	_, there := t.clusters[cluster]
+	return t.routes != nil && there && len(t.endpoints[cluster]) > 0
+}
+
+// Drops tells whether a request to a cluster is one of those that the proxy is to refuse.
+func (t *Table) Drops(cluster string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return rand.Float64() < t.drops[cluster]
 }
 
 // Pick finds the endpoint for a request: the first route that fits, then the earliest turn.
@@ -120,11 +142,16 @@
 			first = e
 		}
 	}
-	if first == nil || !t.clusters[cluster] {
+	least, there := t.clusters[cluster]
+	if first == nil || !there {
 		return "", fmt.Errorf("cluster %q has no endpoint", cluster)
 	}
 	t.turn[cluster] = first.next
-	first.next += 1 / float64(first.Weight)
+	share := 1.0
+	if least > 0 && t.Busy != nil {
+		share = math.Pow(1+float64(t.Busy(cluster, first.Address)), least)
+	}
+	first.next += share / float64(first.Weight)
 	return first.Address, nil
 }
 
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -10,6 +10,9 @@
 //     more requests has seen more. Samples that are no finite number from 0 up are dropped.
 //   - Failures are counted over all outcomes of all proxies, so one proxy whose own network is broken does not condemn an
 //     endpoint that serves the others.
+//   - An endpoint that fails many and still serves a part of what the others serve is full, not broken: proxies report
+//     what was turned away among the failures. Its failures count as half of its outcomes at the most, which is not enough to
+//     eject it: the others would take over what it serves and fill up in turn.
 package loads
 
 import (
@@ -20,6 +23,13 @@
 // stale is how many of its intervals a proxy's report counts for. One may be late; two missing are silence.
 const stale = 3
 
+// An endpoint that serves at least serves of what the mean endpoint does is full rather than broken: one that crawls
+// under its queue passes, one whose few good answers are chance does not.
+const serves = 0.1
+
+// fullFailed is the share of failures that an endpoint which is full has at the most.
+const fullFailed = 0.5
+
 // Stats is what a proxy saw of an endpoint over an interval.
 type Stats struct {
 	InProgress uint64 // at the end of the interval
@@ -41,7 +51,7 @@
 	QPS      float64 // requests served a second
 	EPS      float64 // failures a second
 	Outcomes uint64  // over the last intervals
-	Failed   float64 // share of failures among them
+	Failed   float64 // share of failures among them, fullFailed at the most where it is full
 	Metrics  map[string]float64
 }
 
@@ -112,10 +122,17 @@
 			}
 		}
 	}
+	served := 0.0
+	for _, x := range out {
+		served += x.QPS / float64(len(out))
+	}
 	for endpoint, x := range out {
 		if x.Outcomes > 0 {
 			x.Failed = float64(failed[endpoint]) / float64(x.Outcomes)
 		}
+		if x.QPS > 0 && x.QPS >= serves*served {
+			x.Failed = min(x.Failed, fullFailed)
+		}
 		x.Metrics = map[string]float64{}
 		out[endpoint] = x
 	}
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -17,6 +17,16 @@
 	return map[string]Metric{"util": {samples, sum}}
 }
 
+// An endpoint that turns most away and still serves is full: it keeps under what ejects. One that serves next to nothing is not.
+func TestFullIsNotBroken(t *testing.T) {
+	l := New()
+	l.Take(0, "p", "c", time.Second, map[string]Stats{"well": {OK: 60}, "full": {OK: 5, Failed: 45}, "broken": {Failed: 40}, "chance": {OK: 1, Failed: 40}})
+	m := l.Merge(0, "c")
+	if m["full"].Failed != fullFailed || m["broken"].Failed != 1 || m["chance"].Failed < 0.9 || m["well"].Failed != 0 {
+		t.Errorf("%+v", m)
+	}
+}
+
 // Two proxies that see one endpoint differently are merged by the rules; a stale one and one that has left count no more.
 func TestMerge(t *testing.T) {
 	l := New()
