--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -528,7 +528,7 @@
 		open, served float64
 		least, most  float64
 	}{
-		{0, 100, 100, 0, 0}, // a second, of an aim of two and a half
+		{0, 100, 300, 0, 0}, // half a second, of an aim of one
 		{0, 5, 0, 0, 0},     // too few open to tell
 		{0, 300, 320, 0.1, 0.9},
 		{0, 1000, 100, 1, 1},
