Refusals end when nobody reports; their share is a function of the settings

Cause, found on reading back: the share was moved only by load reports. When the proxies that report left, the others went on refusing at the last share for good. And the module was asked by an event of its own for what depends on its settings alone, so each report was two events.

--- a/balance/feed.go
+++ b/balance/feed.go
@@ -9,11 +9,11 @@
 // Refusal is the share of first tries that is to be refused where others carry the requests: by the same pressure as that of an
 // owner's own, the latency foretold for what comes now as a share of the mean aim, from the requests open in all and those
 // served a second.
-func (b *Balancer) Refusal(open, served float64) float64 {
-	if b.set.Tier != 0 || open < matureCount/2 {
+func (s *Settings) Refusal(open, served float64) float64 {
+	if s.Tier != 0 || open < matureCount/2 {
 		return 0
 	}
-	return chance(highUnknown*open/max(served, 1e-9)/b.meanAim.Seconds(), shedFrom, shedTo-shedFrom)
+	return chance(highUnknown*open/max(served, 1e-9)/s.meanAim().Seconds(), shedFrom, shedTo-shedFrom)
 }
 
 // Observed takes what others saw of a server over some time: the share of failures among its outcomes, below 0 where there
--- a/balance/guard.go
+++ b/balance/guard.go
@@ -45,9 +45,7 @@
 	b.servers = map[ServerID]*server{}
 	b.tenants = make([]rate, len(b.set.Tenants))
 	b.retries, b.start, b.spill = retryBurst, now, lowest
-	for _, c := range b.set.Classes {
-		b.meanAim += c.Aim / time.Duration(len(b.set.Classes))
-	}
+	b.meanAim = b.set.meanAim()
 	if b.set.Ask {
 		// Many balancers can start at once; discovery answers in turn, so calls are spread.
 		b.host.Timer(b.spread(b.set.Rules.AskWithin/8), timerWatch)
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -536,11 +536,7 @@
 		{1, 1000, 100, 0, 0},
 	} {
 		set.Tier = c.tier
-		b, err := New(set, &recorder{}, 0)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if got := b.Refusal(c.open, c.served); got < c.least || got > c.most {
+		if got := set.Refusal(c.open, c.served); got < c.least || got > c.most {
 			t.Errorf("%+v: %g", c, got)
 		}
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -284,6 +284,14 @@
 // Peer takes a message of another balancer. This version sends none and passes over what comes.
 func (b *Balancer) Peer(now time.Duration, from int, data []byte) {}
 
+// meanAim is the mean aim of the classes.
+func (s *Settings) meanAim() (mean time.Duration) {
+	for _, c := range s.Classes {
+		mean += c.Aim / time.Duration(len(s.Classes))
+	}
+	return mean
+}
+
 // check tells which setting is not valid.
 func (s *Settings) check() error {
 	positive := func(x float64) bool { return x >= 0 && !math.IsInf(x, 0) }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -129,14 +129,20 @@
 // The share of refusals follows what the module wants over about a second, leaves some to pass, and is told in the protocol's form.
 func TestRefusals(t *testing.T) {
 	var r refusal
+	start := time.Duration(time.Now().UnixNano())
+	now := start
 	for n := range 100 {
-		r.take(time.Duration(n)*100*time.Millisecond, 1)
-		if n == 3 && (r.percent() < 10 || r.percent() > 50) {
-			t.Errorf("%d%% after 0.3 s", r.percent())
+		now = start + time.Duration(n)*100*time.Millisecond
+		r.take(now, 1)
+		if n == 3 && (r.percent(now) < 10 || r.percent(now) > 50) {
+			t.Errorf("%d%% after 0.3 s", r.percent(now))
 		}
 	}
-	if r.percent() != 100*refusalMost {
-		t.Errorf("%d%% in the end", r.percent())
+	if r.percent(now) != 100*refusalMost {
+		t.Errorf("%d%% in the end", r.percent(now))
+	}
+	if silent := now + refusalKept + 1; r.percent(silent) != 0 {
+		t.Errorf("%d%% though nobody reports", r.percent(silent))
 	}
 	v := routing.View{Index: 1, Destinations: []routing.DestinationView{{Name: "a", Address: "127.0.0.1:1", ServerView: balance.ServerView{State: balance.Ready, Weight: 1}}}}
 	for _, percent := range []uint32{0, 40} {
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -34,12 +34,12 @@
 			all = append(all, observationOf(p.set, address, x))
 		}
 	}
-	p.loop.Observe(all)
 	open, served := 0.0, 0.0
 	for _, x := range merged {
 		open, served = open+x.Inflight, served+x.QPS
 	}
-	p.loop.Refusal(open, served, func(share float64) { p.refusal.take(now, share) })
+	p.refusal.take(now, p.set.Refusal(open, served)) // before the event, after which it is looked at
+	p.loop.Observe(all)
 }
 
 // Leave forgets a proxy.
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -159,7 +159,7 @@
 	if v.Index == 0 && len(v.Destinations) == 0 {
 		return // no list has come
 	}
-	r, err := endpointsOf(p.conf, v, p.refusal.percent())
+	r, err := endpointsOf(p.conf, v, p.refusal.percent(s.clock.Now()))
 	if err != nil {
 		s.log.Error("endpoints", "pool", p.conf.Name, "error", err)
 		return
--- a/internal/routing/observe.go
+++ b/internal/routing/observe.go
@@ -9,11 +9,6 @@
 	Load    []float32
 }
 
-// Refusal asks the module for the share of first tries to refuse, see balance.Balancer.Refusal, from any goroutine.
-func (l *Loop) Refusal(open, served float64, tell func(share float64)) {
-	l.post(func() { tell(l.balancer.Refusal(open, served)) })
-}
-
 // Observe hands the module what others saw of destinations, by address, from any goroutine. Those that no destination has
 // are passed over.
 func (l *Loop) Observe(all []Observation) {
