Lab read back: one start of control services, one free port, one way to shorten a run

Need: what the comparison of proxies wrote again.

Change: child.StartControl and child.FreeAddress, Scenario.Last, programs found once, the rest derived.

Measured: tests of the packages, the short drills and a short comparison pass as before.

--- a/cmd/kitewood-lab/compare.go
+++ b/cmd/kitewood-lab/compare.go
@@ -12,7 +12,6 @@
 
 	"kitewood/internal/lab/report"
 	"kitewood/internal/lab/results"
-	"kitewood/internal/lab/scenario"
 )
 
 func compareCommand() *cli.Command {
@@ -92,10 +91,7 @@
 			if err != nil {
 				return sides, err
 			}
-			if d := c.Duration("duration"); d > 0 {
-				s.Duration = scenario.Duration(d)
-				s.Cut()
-			}
+			s.Last(c.Duration("duration"))
 			binary, err := filepath.Abs(programs[n])
 			if err != nil {
 				return sides, err
--- a/cmd/kitewood-lab/proxies.go
+++ b/cmd/kitewood-lab/proxies.go
@@ -16,7 +16,6 @@
 	"kitewood/internal/lab/dataplane"
 	"kitewood/internal/lab/emulator"
 	"kitewood/internal/lab/results"
-	"kitewood/internal/lab/scenario"
 )
 
 // sidecars is what the proxies are compared with.
@@ -89,14 +88,23 @@
 	if err != nil {
 		return err
 	}
-	control, release, err := findProgram(ctx, c, "kitewood-control")
+	log, err := logger(c)
+	if err != nil {
+		return err
+	}
+	kitewood, release, err := sidecarProgram(ctx, c)
+	defer release()
 	if err != nil {
 		return err
 	}
+	control, release, err := findProgram(ctx, c, "kitewood-control")
 	defer release()
-	out := c.String("out")
-	if out == "" {
-		out = filepath.Join("lab-results", "proxies-"+time.Now().Format("20060102T150405"))
+	if err != nil {
+		return err
+	}
+	base := play{binary: kitewood, log: log, out: c.String("out")}
+	if base.out == "" {
+		base.out = filepath.Join("lab-results", "proxies-"+time.Now().Format("20060102T150405"))
 	}
 	var cells []*cell
 	for seed := range c.Int("seeds") { // interleaved, so that what else the machine does falls on all alike
@@ -115,7 +123,7 @@
 		}
 		wait.Go(func() {
 			defer func() { <-places }()
-			x.err = x.play(ctx, c, out, own, control)
+			x.err = x.play(ctx, base, c.Duration("duration"), emulator.Proxies{Program: own, Control: control})
 			if x.err == nil {
 				fmt.Fprintf(c.Root().ErrWriter, "%s, %s, seed %d: service %s, p99 %.0f ms, %d broken rules\n", x.scenario, x.policy, x.seed,
 					f3(x.sum.Service.Service), x.sum.Latency.P99, x.sum.Broken())
@@ -140,21 +148,16 @@
 	return nil
 }
 
-// play plays one run.
-func (x *cell) play(ctx context.Context, c *cli.Command, out, own, control string) error {
-	p, release, err := prepare(ctx, c, x.scenario)
-	if err != nil {
+// play plays one run. base holds what all runs have in common.
+func (x *cell) play(ctx context.Context, base play, last time.Duration, other emulator.Proxies) (err error) {
+	if base.scenario, err = findScenario(x.scenario); err != nil {
 		return err
 	}
-	defer release()
-	if d := c.Duration("duration"); d > 0 {
-		p.scenario.Duration = scenario.Duration(d)
-		p.scenario.Cut()
-	}
-	p.seed, p.out = x.seed, filepath.Join(out, fmt.Sprintf("%s-%s-seed%d", x.scenario, x.policy, x.seed))
-	if x.policy != sidecars {
-		p.proxies = &emulator.Proxies{Policy: x.policy, Program: own, Control: control}
+	base.scenario.Last(last)
+	base.seed, base.out = x.seed, filepath.Join(base.out, fmt.Sprintf("%s-%s-seed%d", x.scenario, x.policy, x.seed))
+	if other.Policy = x.policy; x.policy != sidecars {
+		base.proxies = &other
 	}
-	_, x.sum, _, err = p.run(ctx)
+	_, x.sum, _, err = base.run(ctx)
 	return err
 }
--- a/cmd/kitewood-lab/run.go
+++ b/cmd/kitewood-lab/run.go
@@ -110,11 +110,7 @@
 	}
 	defer release()
 	s := p.scenario
-	if d := c.Duration("duration"); d > 0 {
-		s.Duration = scenario.Duration(d)
-		s.Warmup = min(s.Warmup, s.Duration/2)
-		s.Cut()
-	}
+	s.Last(c.Duration("duration"))
 	bar := newBar(s.Duration.D())
 	p.out, p.progress, p.page = c.String("out"), bar.run, true
 	if !asJSON {
--- a/internal/lab/child/child.go
+++ b/internal/lab/child/child.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"syscall"
@@ -40,6 +42,37 @@
 	return c, nil
 }
 
+// FreeAddress finds an address of loopback that nobody listens on.
+func FreeAddress() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return ln.Addr().String(), ln.Close()
+}
+
+// Control is a kitewood-control process.
+type Control struct {
+	*Child
+	Address string // that proxies connect to
+}
+
+// StartControl starts a control service in plain text, with its files in a folder. rest is the configuration's pools and routes.
+func StartControl(program, dir, name, rest string, env ...string) (*Control, error) {
+	c := &Control{}
+	var err error
+	if c.Address, err = FreeAddress(); err != nil {
+		return nil, err
+	}
+	path := filepath.Join(dir, name+"-config.yaml")
+	text := fmt.Sprintf("name: %s\nplaintext: true\nlisteners: [{address: %q}]\n%s", name, c.Address, rest)
+	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+		return nil, err
+	}
+	c.Child, err = Start(filepath.Join(dir, name+".log"), env, program, "serve", "--config", path)
+	return c, err
+}
+
 // Signal sends a signal.
 func (c *Child) Signal(s syscall.Signal) { c.cmd.Process.Signal(s) }
 
--- a/internal/lab/drill/controlservice.go
+++ b/internal/lab/drill/controlservice.go
@@ -1,20 +1,13 @@
 package drill
 
 import (
-	"fmt"
-	"net"
-	"os"
-	"path/filepath"
 	"time"
 
 	"kitewood/internal/lab/child"
 )
 
 // controlService is a kitewood-control process.
-type controlService struct {
-	*child.Child
-	address string
-}
+type controlService struct{ *child.Control }
 
 // startControl starts a control service with two pools whose lists lie in a folder.
 func startControl(o Options, dir, name string) (*controlService, error) {
@@ -27,25 +20,9 @@
 
 // startControlWith starts a control service with these lines of pools and routes.
 func startControlWith(o Options, dir, name, pools, routes string) (*controlService, error) {
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	c := &controlService{address: free.Addr().String()}
-	free.Close()
-	path := filepath.Join(dir, name+"-config.yaml")
-	text := fmt.Sprintf(`name: %s
-plaintext: true
-listeners: [{address: %q}]
-pools:
-%sroutes:
-%s`, name, c.address, pools, routes)
-	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
-		return nil, err
-	}
 	// GOMAXPROCS are the cores that the figures are stated for.
-	c.Child, err = child.Start(filepath.Join(dir, name+".log"), []string{"GOMAXPROCS=4"}, o.Control, "serve", "--config", path)
-	return c, err
+	c, err := child.StartControl(o.Control, dir, name, "pools:\n"+pools+"routes:\n"+routes, "GOMAXPROCS=4")
+	return &controlService{c}, err
 }
 
 // stop ends the service and tells whether it ended by itself, with status 0.
--- a/internal/lab/drill/xdsdrain.go
+++ b/internal/lab/drill/xdsdrain.go
@@ -117,10 +117,10 @@
 
 	tables := []*proxy.Table{proxy.NewTable(), proxy.NewTable()}
 	for n, table := range tables {
-		client := &proxy.Client{Node: fmt.Sprintf("lab-%d", n), Servers: []string{service.address}, Delta: n == 1, Table: table, Log: o.Log}
+		client := &proxy.Client{Node: fmt.Sprintf("lab-%d", n), Servers: []string{service.Address}, Delta: n == 1, Table: table, Log: o.Log}
 		wait.Go(func() { client.Run(ctx) })
 	}
-	resolver, err := xds.NewXDSResolverWithConfigForTesting(bootstrap(service.address))
+	resolver, err := xds.NewXDSResolverWithConfigForTesting(bootstrap(service.Address))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/drill/xdsreconnect.go
+++ b/internal/lab/drill/xdsreconnect.go
@@ -63,7 +63,7 @@
 	defer cancel()
 	tables, clients := make([]*proxy.Table, proxies), make([]*proxy.Client, proxies)
 	for n := range proxies {
-		servers := []string{services[0].address, services[1].address}
+		servers := []string{services[0].Address, services[1].Address}
 		if n%2 == 1 {
 			slices.Reverse(servers)
 		}
--- a/internal/lab/drill/xdsscale.go
+++ b/internal/lab/drill/xdsscale.go
@@ -201,7 +201,7 @@
 	var conn *grpc.ClientConn
 	for n := range proxies {
 		if n%50 == 0 {
-			if conn, err = grpc.NewClient("passthrough:///"+service.address, grpc.WithTransportCredentials(insecure.NewCredentials())); err != nil {
+			if conn, err = grpc.NewClient("passthrough:///"+service.Address, grpc.WithTransportCredentials(insecure.NewCredentials())); err != nil {
 				return err
 			}
 			defer conn.Close()
--- a/internal/lab/emulator/proxies.go
+++ b/internal/lab/emulator/proxies.go
@@ -2,9 +2,6 @@
 
 import (
 	"fmt"
-	"net"
-	"os"
-	"path/filepath"
 
 	"github.com/goccy/go-yaml"
 
@@ -23,9 +20,8 @@
 
 // controls is the run's control service. It watches discovery as a sidecar of each tier would.
 type controls struct {
-	process *child.Child
-	address string
-	places  []*sidecar // by tier; they have no process
+	*child.Control
+	places []*sidecar // by tier; they have no process
 }
 
 // check refuses what proxies cannot play.
@@ -45,19 +41,14 @@
 	}
 	args = []string{"proxy", "--policy", w.proxies.Policy}
 	if w.controls != nil {
-		args = append(args, "--control", w.controls.address, "--pool", w.s.Tiers[s.tier].Name)
+		args = append(args, "--control", w.controls.Address, "--pool", w.s.Tiers[s.tier].Name)
 	}
 	return w.proxies.Program, args
 }
 
 // startControl starts the control service with a pool for each tier.
 func (w *World) startControl() error {
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	c := &controls{address: free.Addr().String()}
-	free.Close()
+	c := &controls{}
 	type object = map[string]any
 	var classes, pools, routes []object
 	for _, x := range w.s.Classes {
@@ -79,15 +70,11 @@
 			"cold": object{"share": tier.Cold.Share, "time": tier.Cold.Time.D().String(), "multiple": tier.Cold.Multiple, "window": tier.Cold.Window.D().String()}})
 		routes = append(routes, object{"hosts": []string{dataplane.Host(tier.Name)}, "pool": tier.Name})
 	}
-	text, err := yaml.Marshal(object{"name": "lab", "plaintext": true, "listeners": []object{{"address": c.address}}, "pools": pools, "routes": routes})
+	text, err := yaml.Marshal(object{"pools": pools, "routes": routes})
 	if err != nil {
 		return err
 	}
-	path := filepath.Join(w.dir, "control.yaml")
-	if err := os.WriteFile(path, text, 0o644); err != nil {
-		return err
-	}
-	if c.process, err = child.Start(filepath.Join(w.dir, "control.log"), nil, w.proxies.Control, "serve", "--config", path); err != nil {
+	if c.Control, err = child.StartControl(w.proxies.Control, w.dir, "control", string(text)); err != nil {
 		return err
 	}
 	w.controls = c
@@ -100,10 +87,10 @@
 		return
 	}
 	select {
-	case <-w.controls.process.Ended:
-		w.book.Add(ledger.Entry{Kind: ledger.Crashed, Sidecar: "control", Note: w.controls.process.Said()})
+	case <-w.controls.Ended:
+		w.book.Add(ledger.Entry{Kind: ledger.Crashed, Sidecar: "control", Note: w.controls.Said()})
 	default:
-		w.controls.process.Kill()
+		w.controls.Kill()
 	}
 	w.controls = nil
 }
--- a/internal/lab/emulator/registry.go
+++ b/internal/lab/emulator/registry.go
@@ -291,13 +291,14 @@
 		known = map[string]model.Member{}
 		r.known[s.name] = known
 	}
+	names := r.w.hear(s)
 	add := func(m model.Member) {
 		if m.Status == model.Gone {
 			delete(known, m.Name)
 		} else {
 			known[m.Name] = m
 		}
-		for _, name := range r.w.hear(s) {
+		for _, name := range names {
 			r.w.book.Add(ledger.Entry{Kind: ledger.Told, Tier: s.tier, Sidecar: name, Instance: m.Name,
 				Outcome: string(m.Status), Since: m.Since})
 		}
--- a/internal/lab/proxy/stream.go
+++ b/internal/lab/proxy/stream.go
@@ -43,8 +43,7 @@
 
 	versions map[string]map[string]string // delta: of each resource, by type
 	whole    map[string]string            // state of the world: of each type
-	clusters []string
-	least    map[string]float64 // by cluster: the bias of least request, 0 where it does not ask for it
+	least    map[string]float64           // by cluster: the bias of least request, 0 where it does not ask for it
 }
 
 // leastRequest tells whether the first policy of a cluster that this proxy knows is least request, by its bias; 0 if it is not.
@@ -124,11 +123,14 @@
 
 func (c *Client) node() *core.Node { return &core.Node{Id: c.Node, Cluster: "lab"} }
 
+// clusters are the names of those it has.
+func (c *Client) clusters() []string { return slices.Sorted(maps.Keys(c.least)) }
+
 // names are the resources that a proxy asks for by name.
 func (c *Client) names(typeURL string) []string {
 	switch typeURL {
 	case xds.TypeEndpoint:
-		return c.clusters
+		return c.clusters()
 	case xds.TypeRoute:
 		return []string{"kitewood"}
 	}
@@ -150,7 +152,7 @@
 	}
 	// The endpoints of clusters that are known are asked for at once: it may be long until the clusters change.
 	for _, t := range []string{xds.TypeCluster, xds.TypeEndpoint, xds.TypeRoute} {
-		if t != xds.TypeEndpoint || len(c.clusters) > 0 {
+		if t != xds.TypeEndpoint || len(c.least) > 0 {
 			if err := ask(t, nil); err != nil {
 				return err
 			}
@@ -161,7 +163,7 @@
 		if err != nil {
 			return err
 		}
-		before := slices.Clone(c.clusters)
+		before := c.clusters()
 		refused := c.apply(r.TypeUrl, r.Resources, nil, true)
 		nonces[r.TypeUrl] = r.Nonce
 		if refused == nil {
@@ -170,7 +172,7 @@
 		if err := ask(r.TypeUrl, refused); err != nil {
 			return err
 		}
-		if r.TypeUrl == xds.TypeCluster && !slices.Equal(before, c.clusters) {
+		if r.TypeUrl == xds.TypeCluster && !slices.Equal(before, c.clusters()) {
 			if err := ask(xds.TypeEndpoint, nil); err != nil {
 				return err
 			}
@@ -185,7 +187,7 @@
 	}
 	asked := map[string]bool{}
 	for _, t := range []string{xds.TypeCluster, xds.TypeEndpoint, xds.TypeRoute} {
-		if t == xds.TypeEndpoint && len(c.clusters) == 0 {
+		if t == xds.TypeEndpoint && len(c.least) == 0 {
 			continue
 		}
 		if err := s.Send(&discovery.DeltaDiscoveryRequest{Node: c.node(), TypeUrl: t, ResourceNamesSubscribe: c.names(t), InitialResourceVersions: c.versions[t]}); err != nil {
@@ -222,7 +224,7 @@
 			continue
 		}
 		more := &discovery.DeltaDiscoveryRequest{TypeUrl: xds.TypeEndpoint}
-		for _, name := range c.clusters {
+		for _, name := range c.clusters() {
 			if !asked[xds.TypeEndpoint+name] {
 				asked[xds.TypeEndpoint+name] = true
 				more.ResourceNamesSubscribe = append(more.ResourceNamesSubscribe, name)
@@ -253,7 +255,6 @@
 			}
 			c.least[x.Name] = leastRequest(&x)
 		}
-		c.clusters = slices.Sorted(maps.Keys(c.least))
 		c.Table.SetClusters(c.least)
 	case xds.TypeEndpoint:
 		return each(bodies, c.Table.SetEndpoints)
--- a/internal/lab/scenario/plan.go
+++ b/internal/lab/scenario/plan.go
@@ -303,7 +303,13 @@
 	return out
 }
 
-// Cut drops the troubles that lie after the end, for a run that is shorter than the scenario.
-func (s *Scenario) Cut() {
+// Last has a run take another time than the scenario's, where one is given: the warm-up is half of it at the most, and
+// troubles after its end are dropped.
+func (s *Scenario) Last(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	s.Duration = Duration(d)
+	s.Warmup = min(s.Warmup, s.Duration/2)
 	s.Troubles = slices.DeleteFunc(s.Troubles, func(t Trouble) bool { return t.At >= s.Duration })
 }
--- a/internal/lab/services/process.go
+++ b/internal/lab/services/process.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -46,12 +45,9 @@
 			return nil, err
 		}
 	}
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	if p.address, err = child.FreeAddress(); err != nil {
 		return nil, err
 	}
-	p.address = free.Addr().String()
-	free.Close()
 	if err := p.configure(""); err != nil {
 		return nil, err
 	}
