--- a/internal/listfile/listfile.go
+++ b/internal/listfile/listfile.go
@@ -92,7 +92,7 @@
 // Source feeds a Loop from a file. It implements routing.Directory.
 type Source struct {
 	path string
-	loop *routing.Loop
+	loop routing.Lists
 	log  *slog.Logger
 
 	mu      sync.Mutex
@@ -104,7 +104,7 @@
 
 // Open reads a list file and watches it until the context ends. The Loop has the list before Open returns; a file that
 // cannot be read is an error. Later a bad file is logged, and the last good list stays.
-func Open(ctx context.Context, w *filewatch.Watcher, path string, loop *routing.Loop, log *slog.Logger) (*Source, error) {
+func Open(ctx context.Context, w *filewatch.Watcher, path string, loop routing.Lists, log *slog.Logger) (*Source, error) {
 	s := &Source{path: filepath.Clean(path), loop: loop, log: log}
 	return s, w.Watch(ctx, s.path, s.load, s.read)
 }
--- a/internal/protocol/poolconfig.go
+++ b/internal/protocol/poolconfig.go
@@ -79,3 +79,29 @@
 	}
 	return list, nil
 }
+
+// words are the states as discovery writes them.
+var words = map[State]string{Ready: "Ready", Draining: "Terminating", Gone: "Gone"}
+
+// Text is a pool config as discovery writes it, on one line.
+func (c PoolConfig) Text() ([]byte, error) {
+	type entry struct {
+		Name    string  `json:"name"`
+		Address string  `json:"address"`
+		Zone    string  `json:"zone"`
+		Kind    string  `json:"type"`
+		Group   int     `json:"group"`
+		Status  string  `json:"status"`
+		Weight  float64 `json:"weight"`
+		SinceMS int64   `json:"since_ms"`
+	}
+	raw := struct {
+		Index     int64   `json:"index"`
+		Whole     bool    `json:"snapshot"`
+		Endpoints []entry `json:"endpoints"`
+	}{c.Index, c.Whole, make([]entry, 0, len(c.Destinations))}
+	for _, d := range c.Destinations {
+		raw.Endpoints = append(raw.Endpoints, entry{d.Name, d.Address, d.Zone, d.Kind, d.Group, words[d.State], d.Weight, d.SinceMS})
+	}
+	return json.Marshal(raw)
+}
--- a/internal/routing/interfaces.go
+++ b/internal/routing/interfaces.go
@@ -106,6 +106,14 @@
 	CloseIdle(d *Destination)
 }
 
+// Lists takes what a source of pool configs tells, from any goroutine. A Loop is one.
+type Lists interface {
+	// Pool takes a pool config, whole or what changed, with its version.
+	Pool(kind balance.ListKind, index int64, members []Member)
+	// Lost says that the source is not heard any more.
+	Lost()
+}
+
 // Directory watches discovery.
 type Directory interface {
 	// Follow opens a watch of what has changed since a version and returns at once. The watch reports to the Loop by
--- a/internal/transport/directory.go
+++ b/internal/transport/directory.go
@@ -19,7 +19,7 @@
 
 // Directory watches discovery. It implements routing.Directory.
 type Directory struct {
-	Loop    *routing.Loop
+	Loop    routing.Lists
 	Log     *slog.Logger
 	Context context.Context // ends all watches
 
@@ -31,7 +31,7 @@
 }
 
 // NewDirectory returns a Directory that watches discovery at an address.
-func NewDirectory(ctx context.Context, address string, loop *routing.Loop, log *slog.Logger) *Directory {
+func NewDirectory(ctx context.Context, address string, loop routing.Lists, log *slog.Logger) *Directory {
 	return &Directory{Context: ctx, address: address, Loop: loop, Log: log}
 }
 
