Control service: etcd, merged sources, members, load out of band, own probes

Need: issue of membership; and weights where no proxy reports. Change: pools take file, etcd and discovery together, merged; 'kitewood-control members [--follow]' shows who says what; the list is served on to sidecars. Instances are asked for their load by ORCA, or probed where nobody tells.

--- a/balance/view.go
+++ b/balance/view.go
@@ -12,6 +12,7 @@
 	State       State
 	Tracked     bool          // in this balancer's subset
 	Weight      float64       // of its turns, 1 for an even share; 0 while it is not tracked
+	Ramp        float64       // part of its work that it can do by its age, 1 once it is warm
 	Utilisation float64       // smoothed
 	Failed      float64       // smoothed share of failures
 	Out         int           // attempts without an outcome
@@ -26,7 +27,7 @@
 		if !s.listed && len(s.out) == 0 {
 			continue
 		}
-		v := ServerView{ID: id, State: s.State, Tracked: s.tracked, Utilisation: s.avg, Failed: s.failed, Out: len(s.out),
+		v := ServerView{ID: id, State: s.State, Tracked: s.tracked, Utilisation: s.avg, Failed: s.failed, Out: len(s.out), Ramp: b.ramp(s, now),
 			HeldOff: max(s.outUntil-now, 0), Trial: s.trial}
 		if s.tracked {
 			v.Weight = b.weight(s, now)
--- a/cmd/kitewood-control/main.go
+++ b/cmd/kitewood-control/main.go
@@ -8,8 +8,10 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"syscall"
 	"text/tabwriter"
@@ -93,6 +95,20 @@
 					return table(c.Root().Writer, s)
 				},
 			},
+			{
+				Name: "members", Usage: "show the merged lists of destinations, what each source says of them, and what is held",
+				Flags: []cli.Flag{file(), &cli.BoolFlag{Name: "json", Usage: "print JSON"}, &cli.BoolFlag{Name: "follow", Usage: "go on with each change"}},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					f, err := control.Load(c.String("config"))
+					if err != nil {
+						return err
+					}
+					if f.Admin == "" {
+						return errors.New("admin is not set in the configuration: the process shows nothing")
+					}
+					return members(ctx, c.Root().Writer, f.Admin, c.Bool("json"), c.Bool("follow"))
+				},
+			},
 			{
 				Name: "version", Usage: "print the version",
 				Action: func(_ context.Context, c *cli.Command) error {
@@ -125,5 +141,12 @@
 	for _, r := range s.Reports {
 		fmt.Fprintf(w, "%s\t%dms\n", r.Proxy, r.AgeMS)
 	}
+	if len(s.OutOfBand) > 0 {
+		fmt.Fprintln(w, "\nASKED OUT OF BAND\tDESTINATIONS\tTOLD\tDO NOT OFFER IT")
+		for _, pool := range slices.Sorted(maps.Keys(s.OutOfBand)) {
+			c := s.OutOfBand[pool]
+			fmt.Fprintf(w, "%s\t%d\t%d\t%d\n", pool, c.Asked, c.Told, c.Without)
+		}
+	}
 	return w.Flush()
 }
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -77,10 +77,8 @@
 
 func (p *Pool) check(at string, bad bad) {
 	switch m := p.Members; {
-	case m.Discovery == "" && m.File == "":
+	case m.Discovery == "" && m.File == "" && m.Etcd == nil:
 		bad(at+"members", "discovery or file is needed")
-	case m.Discovery != "" && m.File != "":
-		bad(at+"members.file", "discovery is given, too: one of them is enough")
 	case m.Discovery != "":
 		if _, err := netip.ParseAddrPort(m.Discovery); err != nil {
 			bad(at+"members.discovery", "an IP and a port are wanted, not %q", m.Discovery)
@@ -133,7 +131,7 @@
 		bad(at+"retry_after", "is negative")
 	}
 	if _, known := vias[p.Reports.Via]; !known {
-		bad(at+"reports.via", "answers, probes or none, not %q", p.Reports.Via)
+		bad(at+"reports.via", "answers, probes, none or, for kitewood-control, orca, not %q", p.Reports.Via)
 	}
 	for i, name := range p.Reports.Fields {
 		if _, known := fields[name]; !known {
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"path/filepath"
 
 	"kitewood/internal/share"
@@ -20,6 +21,17 @@
 	}
 	wrong := tree.Wrong()
 	f.Complete(path, wrong.Add)
+	for i := range f.Pools {
+		switch m := f.Pools[i].Members; {
+		case m.Etcd != nil || m.Merge != nil || m.Serve != "":
+			wrong.Add(fmt.Sprintf("pools[%d].members", i), "etcd, merge and serve are kitewood-control's: a sidecar has discovery or file")
+		case m.Discovery != "" && m.File != "":
+			wrong.Add(fmt.Sprintf("pools[%d].members.file", i), "discovery is given, too: one of them is enough")
+		}
+		if r := f.Pools[i].Reports; r.Via == "orca" || r.Every != 0 {
+			wrong.Add(fmt.Sprintf("pools[%d].reports", i), "via: orca and every are kitewood-control's: a sidecar reads its own answers")
+		}
+	}
 	if err := wrong.Err(); err != nil {
 		return nil, err
 	}
--- a/internal/config/resolve.go
+++ b/internal/config/resolve.go
@@ -16,7 +16,7 @@
 // The words of the file and what they stand for.
 var (
 	effects = map[string]balance.Effect{"safe": balance.Safe, "keyed": balance.Keyed, "unsafe": balance.Unsafe}
-	vias    = map[string]balance.Via{"none": balance.NoReports, "answers": balance.OnAnswers, "probes": balance.OnProbes}
+	vias    = map[string]balance.Via{"none": balance.NoReports, "answers": balance.OnAnswers, "orca": balance.OnAnswers, "probes": balance.OnProbes}
 	fields  = map[string]balance.Field{"util": balance.Util, "inflight": balance.Inflight, "queue": balance.Queue,
 		"latency_ms": balance.LatencyMS, "qps": balance.QPS, "eps": balance.EPS}
 	// methods are those whose answers are read like those of GET: the answer to HEAD has a length and no body.
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -79,12 +79,52 @@
 	Inner bool `yaml:"inner,omitempty"`
 }
 
-// Members are a list's source: exactly one of the two is given.
+// Members are a list's sources: for a sidecar one, discovery or file; kitewood-control merges several.
 type Members struct {
 	// Discovery is the address of the platform's discovery, IP and port.
 	Discovery string `yaml:"discovery,omitempty"`
 	// File with the list. It is watched; relative paths start at the configuration's folder.
 	File string `yaml:"file,omitempty"`
+	// Etcd is followed by kitewood-control.
+	Etcd *Etcd `yaml:"etcd,omitempty"`
+	// Merge is how kitewood-control judges what its sources say.
+	Merge *Merge `yaml:"merge,omitempty"`
+	// Serve is the address, IP and port, at which kitewood-control offers the merged list by the platform's discovery protocol.
+	Serve string `yaml:"serve,omitempty"`
+}
+
+// Etcd is a prefix of keys, each a destination whose name is the rest of the key.
+type Etcd struct {
+	// Endpoints of the cluster's members, host and port or URL.
+	Endpoints []string `yaml:"endpoints"`
+	// Prefix of the keys, with its last slash.
+	Prefix string `yaml:"prefix"`
+	// Form of the values: kitewood, if left out, or naming, as etcd's naming/endpoints package writes them.
+	Form string `yaml:"form,omitempty"`
+	// User that authenticates; left out, nobody does.
+	User string `yaml:"user,omitempty"`
+	// PasswordFile holds the user's password; relative paths start at the configuration's folder.
+	PasswordFile string `yaml:"password_file,omitempty"`
+	// CA of the members' certificates, PEM; with it the connections are TLS.
+	CA string `yaml:"ca,omitempty"`
+	// Certificate of this client, PEM, where members want one.
+	Certificate string `yaml:"certificate,omitempty"`
+	// Key of the certificate, PEM.
+	Key string `yaml:"key,omitempty"`
+}
+
+// Merge is how sources that disagree are judged.
+type Merge struct {
+	// StaleAfter is how long after it was lost a source's good words count no longer if another is heard, 30s if left out.
+	StaleAfter Duration `yaml:"stale_after,omitempty"`
+	// HoldBelow is the share of what a source named before under which a whole list is not believed at once, 0.3 if left out.
+	HoldBelow float64 `yaml:"hold_below,omitempty"`
+	// HoldFor is how long what such a list leaves out stays, 10s if left out.
+	HoldFor Duration `yaml:"hold_for,omitempty"`
+	// FlapMost is the number of returns within a minute from which on a destination is held back, 4 if left out.
+	FlapMost int `yaml:"flap_most,omitempty"`
+	// FlapHold is how long it is held back first, 5s if left out; it doubles with each return, up to a minute.
+	FlapHold Duration `yaml:"flap_hold,omitempty"`
 }
 
 // Class is a class of requests.
@@ -117,8 +157,10 @@
 
 // Reports of load.
 type Reports struct {
-	// Via is answers, probes or none, none if left out.
+	// Via is answers, probes or none, none if left out. For kitewood-control it may be orca: it asks destinations out of band.
 	Via string `yaml:"via,omitempty"`
+	// Every is how often kitewood-control asks destinations that it asks itself, 1s if left out.
+	Every Duration `yaml:"every,omitempty"`
 	// Fields of a report: util, inflight, queue, qps, latency_ms, eps.
 	Fields []string `yaml:"fields,omitempty"`
 }
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"kitewood/internal/adminsocket"
+	"kitewood/internal/orca"
 )
 
 // Status is what the admin socket shows.
@@ -16,6 +17,8 @@
 	Proxies []ProxyStatus  `json:"proxies"`
 	Reports []ReportStatus `json:"reports"`
 	Drains  DrainStatus    `json:"drains"`
+	// OutOfBand is, by pool, how many destinations are asked for their load out of band.
+	OutOfBand map[string]orca.Counts `json:"out_of_band,omitempty"`
 }
 
 // ProxyStatus is a stream of a proxy.
@@ -55,6 +58,14 @@
 func (s *Service) Status() Status {
 	proxies, drains := s.hub.Status()
 	out := Status{Name: s.file.Name, Proxies: []ProxyStatus{}, Reports: []ReportStatus{}}
+	for name, p := range s.pools {
+		if p.orca != nil {
+			if out.OutOfBand == nil {
+				out.OutOfBand = map[string]orca.Counts{}
+			}
+			out.OutOfBand[name] = p.orca.Counts()
+		}
+	}
 	ages := s.reports.ages()
 	for _, proxy := range slices.Sorted(maps.Keys(ages)) {
 		out.Reports = append(out.Reports, ReportStatus{proxy, ages[proxy].Milliseconds()})
@@ -75,11 +86,15 @@
 }
 
 func admin(ctx context.Context, path string, s *Service, log *slog.Logger) error {
-	return adminsocket.Serve(ctx, path, log, func() any { return s.Status() })
+	return adminsocket.Serve(ctx, path, log, map[string]adminsocket.Answer{
+		adminsocket.State: adminsocket.Once(func() any { return s.Status() }),
+		"members":         adminsocket.Once(func() any { return s.Members() }),
+		"members follow":  s.followMembers,
+	})
 }
 
 // Ask reads the Status of a process from its admin socket.
 func Ask(path string) (Status, error) {
 	var out Status
-	return out, adminsocket.Ask(path, &out)
+	return out, adminsocket.Ask(path, adminsocket.State, &out)
 }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -5,13 +5,17 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"net/textproto"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	data "github.com/cncf/xds/go/xds/data/orca/v3"
 	core "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 	endpoint "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
 	routes "github.com/envoyproxy/go-control-plane/envoy/config/route/v3"
@@ -22,6 +26,7 @@
 	"kitewood/balance"
 	"kitewood/internal/config"
 	"kitewood/internal/filewatch"
+	"kitewood/internal/lab/instances"
 	"kitewood/internal/lab/proxy"
 	"kitewood/internal/route"
 	"kitewood/internal/routing"
@@ -346,3 +351,59 @@
 	service.pools["b"].loop.Pool(balance.Full, 1, nil) // a list that names nobody is one
 	testkit.Until(t, "all is published", func() bool { _, open := known(); return open })
 }
+
+// Where no proxy reports, weights follow what destinations tell of themselves: out of band, or when they are asked.
+func TestWeightsFollowDestinationsOwnWord(t *testing.T) {
+	for _, via := range []string{"orca, fields: [util]}", "probes, fields: [util], every: 100ms}, probes: true"} {
+		dir := t.TempDir()
+		text := "destinations:\n"
+		for i, busy := range []float64{0.9, 0.3, 0.5} {
+			n := 0
+			address := ""
+			if strings.HasPrefix(via, "orca") {
+				x, err := instances.New(func() *data.OrcaLoadReport {
+					n++
+					return &data.OrcaLoadReport{ApplicationUtilization: busy + float64(n%7)/100}
+				})
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer x.Stop()
+				address = x.Address
+			} else {
+				var asked atomic.Int64
+				x := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					fmt.Fprintf(w, "util=%g", busy+float64(asked.Add(1)%7)/100)
+				}))
+				defer x.Close()
+				address = x.Listener.Addr().String()
+			}
+			text += fmt.Sprintf("  - {name: d%d, address: %q}\n", i, address)
+		}
+		if err := os.WriteFile(filepath.Join(dir, "a.yaml"), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		c := strings.Replace(good, "classes:", "reports: {via: "+via+", classes:", 1)
+		if strings.HasPrefix(via, "orca") {
+			c = strings.Replace(c, "fields: [util]}", "fields: [util], every: 100ms}", 1)
+		}
+		f, err := Read(filepath.Join(dir, "c.yaml"), []byte(c))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		clock, quiet := routing.NewClock(), slog.New(slog.DiscardHandler)
+		service, err := Start(ctx, f, watch(t), xdsserver.NewHub(clock.Now), clock, quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		testkit.Until(t, "weights follow, "+via, func() bool {
+			v, ok := service.pools["a"].loop.View(time.Second)
+			return ok && len(v.Destinations) == 3 && v.Destinations[1].Weight > 1.5*v.Destinations[0].Weight
+		})
+		if strings.HasPrefix(via, "orca") && service.Status().OutOfBand["a"].Told != 3 {
+			t.Errorf("%+v", service.Status().OutOfBand)
+		}
+		cancel()
+	}
+}
--- a/internal/control/program.go
+++ b/internal/control/program.go
@@ -72,6 +72,11 @@
 		}
 	}
 	for i := range f.Pools {
+		fillReports(&f.Pools[i].Reports)
+		fillMembers(filepath.Dir(path), fmt.Sprintf("pools[%d].members.", i), &f.Pools[i].Members, wrong.Add)
+		if f.Pools[i].Reports.Every < 0 {
+			wrong.Add(fmt.Sprintf("pools[%d].reports.every", i), "is negative")
+		}
 		if f.Pools[i].Name == RouteName {
 			wrong.Add(fmt.Sprintf("pools[%d].name", i), "%q is the name of the common listener", RouteName)
 		}
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -13,8 +13,9 @@
 type reports struct {
 	service *Service
 
-	mu    sync.Mutex
-	loads *loads.Loads
+	mu      sync.Mutex
+	loads   *loads.Loads
+	waiting map[*pool]map[string]bool // destinations that told of themselves and that the pool has not learnt of
 }
 
 // Take takes a proxy's report and has the pool learn what all proxies together saw.
@@ -28,17 +29,22 @@
 	r.loads.Take(now, proxy, cluster, interval, stats)
 	merged := r.loads.Merge(now, cluster)
 	r.mu.Unlock()
-	all := make([]routing.Observation, 0, len(stats))
-	for address := range stats { // the others have been told already
-		if x, there := merged[address]; there {
-			all = append(all, observationOf(p.set, address, x))
-		}
-	}
 	open, served := 0.0, 0.0
 	for _, x := range merged {
 		open, served = open+x.Inflight, served+x.QPS
 	}
 	p.refusal.take(now, p.set.Refusal(open, served)) // before the event, after which it is looked at
+	observe(p, stats, merged)
+}
+
+// observe has a pool learn the readings of some of its destinations; the others have been told already.
+func observe[V any](p *pool, some map[string]V, merged map[string]loads.Reading) {
+	all := make([]routing.Observation, 0, len(some))
+	for address := range some {
+		if x, there := merged[address]; there {
+			all = append(all, observationOf(p.set, address, x))
+		}
+	}
 	p.loop.Observe(all)
 }
 
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -7,13 +7,14 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"kitewood/balance"
 	"kitewood/internal/config"
 	"kitewood/internal/filewatch"
-	"kitewood/internal/listfile"
 	"kitewood/internal/loads"
+	"kitewood/internal/orca"
 	"kitewood/internal/routing"
 	"kitewood/internal/transport"
 	"kitewood/internal/xds"
@@ -54,10 +55,12 @@
 	conf    *config.Pool
 	set     balance.Settings
 	loop    *routing.Loop
-	watch   routing.Directory
+	members *members
 	carrier *transport.Destinations
 	dirty   chan struct{}
 	refusal refusal
+	orca    *orca.Watcher            // nil if destinations are not asked out of band
+	open    atomic.Pointer[[]string] // addresses of the destinations that take new requests
 }
 
 // Start reads lists, starts the pools of a configuration and publishes to a hub until the context ends. On an error, too,
@@ -74,7 +77,7 @@
 			s.views[r.View] = r
 		}
 	}
-	s.reports = &reports{service: s, loads: loads.New()}
+	s.reports = &reports{service: s, loads: loads.New(), waiting: map[*pool]map[string]bool{}}
 	if err := s.fix(); err != nil {
 		return nil, err
 	}
@@ -91,17 +94,16 @@
 		p.carrier = transport.NewDestinations(transport.Options{Clock: clock, ConnectTimeout: conf.Connections.Timeout.D(),
 			IdleFor: conf.Connections.Idle.D() / 2, Room: transport.NewRoom(f.Budget().Destinations / len(f.Pools)),
 			Fields: conf.Reports.Fields, ProbePath: "/stats", Log: log})
-		if conf.Members.File != "" {
-			if p.watch, err = listfile.Open(ctx, watcher, conf.Members.File, loop, log); err != nil {
-				return nil, fmt.Errorf("pool %q: %w", conf.Name, err)
-			}
-		} else {
-			p.watch = transport.NewDirectory(ctx, conf.Members.Discovery, loop, log)
+		p.members = newMembers(ctx, conf, set.Seed, clock, loop, log)
+		if err := p.members.open(watcher); err != nil {
+			return nil, fmt.Errorf("pool %q: %w", conf.Name, err)
 		}
 		s.pools[conf.Name] = p
 	}
 	for _, p := range s.pools {
-		go p.loop.Run(ctx, p.carrier, p.watch)
+		p.open.Store(new([]string))
+		s.asks(p)
+		go p.loop.Run(ctx, p.carrier, p.members)
 		go s.follow(ctx, p)
 	}
 	time.AfterFunc(wholeWithin, func() {
@@ -122,6 +124,7 @@
 func module(f *config.File, p *config.Pool) balance.Settings {
 	set := p.Module(f.SeedOf(p.Name))
 	set.Me, set.Balancers = 0, 1
+	set.Ask = false // news come by themselves, from package membership's sources
 	return set
 }
 
@@ -159,6 +162,16 @@
 	if v.Index == 0 && len(v.Destinations) == 0 {
 		return // no list has come
 	}
+	var open []string
+	for _, d := range v.Destinations {
+		if d.State == balance.Ready {
+			open = append(open, d.Address)
+		}
+	}
+	p.open.Store(&open)
+	if p.orca != nil {
+		p.orca.Follow(open)
+	}
 	r, err := endpointsOf(p.conf, v, p.refusal.percent(s.clock.Now()))
 	if err != nil {
 		s.log.Error("endpoints", "pool", p.conf.Name, "error", err)
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -8,6 +8,8 @@
 //   - Requests in progress and rates are added over proxies: each sees its own requests alone.
 //   - A metric that instances tell of themselves is the mean of the samples, weighted by their number: a proxy that sent
 //     more requests has seen more. Samples that are no finite number from 0 up are dropped.
+//   - What an endpoint tells of itself on a stream of its own counts before the metrics that proxies pass on, and its rates where
+//     no proxy reports on it. It is stale as a proxy's report is.
 //   - Failures are counted over all outcomes of all proxies, so one proxy whose own network is broken does not condemn an
 //     endpoint that serves the others.
 //   - An endpoint that fails many and still serves a part of what the others serve is full, not broken: proxies report
@@ -16,6 +18,7 @@
 package loads
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -65,13 +68,40 @@
 	stats    map[string]Stats
 }
 
+// Own is what an endpoint told of itself.
+type Own struct {
+	QPS, EPS float64
+	Metrics  map[string]float64
+}
+
+// own is the last one of an endpoint.
+type own struct {
+	at       time.Duration
+	interval time.Duration
+	Own
+}
+
 // Loads holds the last reports. It is not safe for concurrent use.
 type Loads struct {
 	proxies map[string]map[string]report // by proxy and cluster
+	own     map[string]map[string]own    // by cluster and endpoint
 }
 
 // New returns a Loads without reports.
-func New() *Loads { return &Loads{proxies: map[string]map[string]report{}} }
+func New() *Loads {
+	return &Loads{proxies: map[string]map[string]report{}, own: map[string]map[string]own{}}
+}
+
+// TakeOwn takes what an endpoint of a cluster told of itself. An interval that is not above 0 makes it void.
+func (l *Loads) TakeOwn(now time.Duration, cluster, endpoint string, interval time.Duration, o Own) {
+	if interval <= 0 {
+		return
+	}
+	if l.own[cluster] == nil {
+		l.own[cluster] = map[string]own{}
+	}
+	l.own[cluster][endpoint] = own{now, interval, o}
+}
 
 // Take takes a proxy's report on a cluster. An interval that is not above 0 makes the report void.
 func (l *Loads) Take(now time.Duration, proxy, cluster string, interval time.Duration, stats map[string]Stats) {
@@ -139,6 +169,18 @@
 	for k, m := range sums {
 		out[k.endpoint].Metrics[k.name] = m.Sum / float64(m.Samples)
 	}
+	for endpoint, o := range l.own[cluster] {
+		if now-o.at >= stale*o.interval {
+			delete(l.own[cluster], endpoint)
+			continue
+		}
+		x, seen := out[endpoint]
+		if !seen {
+			x = Reading{Inflight: o.Metrics["inflight"], QPS: max(0, o.Own.QPS-o.EPS), EPS: o.EPS, Metrics: map[string]float64{}}
+		}
+		maps.Copy(x.Metrics, o.Metrics)
+		out[endpoint] = x
+	}
 	return out
 }
 
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -84,3 +84,23 @@
 		}
 	})
 }
+
+// What an endpoint tells of itself counts before what proxies pass on, stands alone where they say nothing, and grows stale.
+func TestOwnWordCountsFirst(t *testing.T) {
+	l := New()
+	l.Take(0, "p", "c", time.Second, map[string]Stats{"a": {InProgress: 2, OK: 8, Failed: 2, Metrics: map[string]Metric{"util": {1, 0.9}, "queue": {1, 4}}}})
+	l.TakeOwn(0, "c", "a", time.Second, Own{QPS: 99, EPS: 9, Metrics: map[string]float64{"util": 0.1}})
+	l.TakeOwn(0, "c", "alone", time.Second, Own{QPS: 10, EPS: 4, Metrics: map[string]float64{"util": 0.3, "inflight": 5}})
+	l.TakeOwn(0, "c", "void", 0, Own{QPS: 1})
+	l.TakeOwn(0, "other", "a", time.Second, Own{Metrics: map[string]float64{"util": 1}})
+	m := l.Merge(2*time.Second, "c")
+	if a := m["a"]; a.Metrics["util"] != 0.1 || a.Metrics["queue"] != 4 || a.QPS != 8 || a.Failed != 0.2 {
+		t.Errorf("with proxies: %+v", a)
+	}
+	if x := m["alone"]; x.QPS != 6 || x.EPS != 4 || x.Inflight != 5 || x.Metrics["util"] != 0.3 || x.Outcomes != 0 || len(m) != 2 {
+		t.Errorf("alone: %+v of %d", x, len(m))
+	}
+	if m := l.Merge(3*time.Second, "c"); len(m) != 0 {
+		t.Errorf("stale words count: %+v", m)
+	}
+}
--- a/internal/routing/observe.go
+++ b/internal/routing/observe.go
@@ -1,6 +1,10 @@
 package routing
 
-import "kitewood/balance"
+import (
+	"slices"
+
+	"kitewood/balance"
+)
 
 // Observation is what others saw of a destination: see balance.Balancer.Observed.
 type Observation struct {
@@ -9,6 +13,18 @@
 	Load    []float32
 }
 
+// Probe asks the destinations at some addresses for their health and load, from any goroutine. Those that no destination
+// has are passed over.
+func (l *Loop) Probe(addresses []string) {
+	l.post(func() {
+		for _, d := range l.pool.byName {
+			if slices.Contains(addresses, d.Address) {
+				host{l}.Probe(d.ID)
+			}
+		}
+	})
+}
+
 // Observe hands the module what others saw of destinations, by address, from any goroutine. Those that no destination has
 // are passed over.
 func (l *Loop) Observe(all []Observation) {
