Drills: etcd under a burst, a compacted gap, and chaos with restores

Need: removals by way of etcd must be kept within 500 ms, also where the watch breaks, and old states must undo no drain. Found by the chaos drill: after a restore, a write that was seen in a list instead of the watch did not take an old bad word back, as a list said nothing of when its entries were written; they are now told with their revisions.

--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -247,8 +247,8 @@
 type etcdFeed struct{ m *members }
 
 // Whole takes a whole list.
-func (f *etcdFeed) Whole(at membership.At, list []routing.Member) (taken bool) {
-	f.m.do(func(now time.Duration) { taken = f.m.merger.Whole(now, fromEtcd, at, list) })
+func (f *etcdFeed) Whole(at membership.At, list []routing.Member, written map[string]int64) (taken bool) {
+	f.m.do(func(now time.Duration) { taken = f.m.merger.WholeWritten(now, fromEtcd, at, list, written) })
 	return taken
 }
 
--- a/internal/etcdsource/source.go
+++ b/internal/etcdsource/source.go
@@ -35,7 +35,8 @@
 
 // Taker takes what a source says; Whole and Changed tell whether it was taken, as membership.Merger does.
 type Taker interface {
-	Whole(at membership.At, list []routing.Member) bool
+	// Whole takes a list, with the revision at which each name was last written.
+	Whole(at membership.At, list []routing.Member, written map[string]int64) bool
 	Changed(at membership.At, changes []routing.Member) bool
 	Alive()
 	Lost()
@@ -188,15 +189,17 @@
 		history = fmt.Sprintf("%x-%d", r.Header.ClusterId, s.fallen)
 	}
 	s.behind = time.Time{}
-	now := map[string]routing.Member{}
+	now, written := map[string]routing.Member{}, map[string]int64{}
 	for _, kv := range r.Kvs {
-		s.put(now, kv)
+		if m, ok := s.put(now, kv); ok {
+			written[m.Name] = kv.ModRevision
+		}
 	}
 	all := make([]routing.Member, 0, len(now))
 	for _, m := range now {
 		all = append(all, m)
 	}
-	if !s.take.Whole(membership.At{History: history, Revision: r.Header.Revision}, all) {
+	if !s.take.Whole(membership.At{History: history, Revision: r.Header.Revision}, all, written) {
 		return fmt.Errorf("the list of revision %d was not taken", r.Header.Revision)
 	}
 	s.history, s.last, s.known = history, r.Header.Revision, now
--- a/internal/etcdsource/source_test.go
+++ b/internal/etcdsource/source_test.go
@@ -41,11 +41,11 @@
 
 func now() time.Duration { return time.Duration(time.Now().UnixNano()) }
 
-func (x *merged) Whole(at membership.At, list []routing.Member) bool {
+func (x *merged) Whole(at membership.At, list []routing.Member, written map[string]int64) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.wholes++
-	return x.m.Whole(now(), "etcd", at, list)
+	return x.m.WholeWritten(now(), "etcd", at, list, written)
 }
 
 func (x *merged) Changed(at membership.At, list []routing.Member) bool {
@@ -240,6 +240,12 @@
 		return err == nil
 	})
 	until(t, x, "a- b c")
+	// A write that is seen in a list only is known to be new by its revision.
+	c.Members[0].Lag()
+	c.Put("/d/a", value("10.0.0.1:1", ""))
+	c.Compact(c.Revision())
+	c.Members[0].CatchUp()
+	until(t, x, "a b c")
 }
 
 // Whatever members do, the list comes to what the cluster says, and what it says is never older than what was seen.
--- a/internal/lab/drill/drill.go
+++ b/internal/lab/drill/drill.go
@@ -67,7 +67,8 @@
 
 // All are the drills, by name.
 func All() []Drill {
-	all := []Drill{rulesDrill, stallDrill, rateDrill, leftoversDrill, calmDrill, poolsDrill, xdsDrainDrill, xdsReconnectDrill, xdsScaleDrill}
+	all := []Drill{rulesDrill, stallDrill, rateDrill, leftoversDrill, calmDrill, poolsDrill, xdsDrainDrill, xdsReconnectDrill, xdsScaleDrill,
+		etcdBurstDrill, etcdCompactDrill, etcdChaosDrill}
 	slices.SortFunc(all, func(a, b Drill) int {
 		if a.Name < b.Name {
 			return -1
--- /dev/null
+++ b/internal/lab/drill/etcdcompact.go
@@ -0,0 +1,149 @@
+package drill
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"kitewood/internal/control"
+)
+
+// etcdCompactDrill has etcd's history compacted while nobody can watch.
+var etcdCompactDrill = Drill{
+	Name:    "etcd-compact",
+	About:   "the watch breaks, instances leave and come, history is compacted: all of it is told, survivors are left alone",
+	Control: true,
+	Run:     runEtcdCompact,
+}
+
+func sortListed(all []*listed) {
+	slices.SortFunc(all, func(a, b *listed) int { return cmp.Compare(a.name, b.name) })
+}
+
+func runEtcdCompact(ctx context.Context, o Options) (*Outcome, error) {
+	repeats := 20
+	if o.Short {
+		repeats = 2
+	}
+	if o.Repeats > 0 {
+		repeats = o.Repeats
+	}
+	dir, err := scratch(o, "etcd-compact")
+	if err != nil {
+		return nil, err
+	}
+	var mu sync.Mutex
+	changes := map[string]int{} // by name
+	r, err := startEtcdRig(ctx, o, dir, "", 1, 2, func(c control.MemberChange) {
+		mu.Lock()
+		defer mu.Unlock()
+		changes[c.Now.Name]++
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer r.stop()
+	b := &bystanders{rig: r, all: map[string]*listed{}}
+	defer b.stop()
+	for range 40 {
+		if _, err := b.add(time.Time{}); err != nil {
+			return nil, err
+		}
+	}
+	if err := r.ready(ctx); err != nil {
+		return nil, err
+	}
+	loaded, stop := context.WithCancel(ctx)
+	defer stop()
+	ended := r.load(loaded)
+	rng := rand.New(rand.NewPCG(o.Seed, 4))
+	out := &Outcome{}
+	var back []time.Duration
+	late, touched := 0, 0
+	for range repeats {
+		for _, i := range b.all {
+			if err := r.until(ctx, "the service knows "+i.name, func() bool { _, is := r.when("service", i.name+" ready"); return is }); err != nil {
+				return nil, err
+			}
+		}
+		mu.Lock()
+		clear(changes)
+		mu.Unlock()
+		for _, m := range r.cluster.Members {
+			m.Stop()
+		}
+		removed := b.some(rng, 15)
+		for _, i := range removed {
+			b.remove(i)
+		}
+		var added []*listed
+		for range 15 {
+			i, err := b.add(time.Now())
+			if err != nil {
+				return nil, err
+			}
+			added = append(added, i)
+		}
+		if err := r.cluster.Compact(r.cluster.Revision()); err != nil {
+			return nil, err
+		}
+		time.Sleep(time.Duration(rng.IntN(500)) * time.Millisecond)
+		returned := time.Now()
+		for _, m := range r.cluster.Members {
+			if err := m.Start(); err != nil {
+				return nil, err
+			}
+		}
+		word := map[*listed]time.Time{}
+		for _, i := range removed {
+			if err := r.until(ctx, "the removal of "+i.name+" is seen", func() (is bool) { word[i], is = r.when("service", i.name+" gone"); return is }); err != nil {
+				return nil, err
+			}
+			back = append(back, word[i].Sub(returned))
+		}
+		for _, i := range added {
+			if err := r.until(ctx, i.name+" is seen", func() bool { _, is := r.when("service", i.name+" ready"); return is }); err != nil {
+				return nil, err
+			}
+		}
+		select {
+		case <-time.After(2 * drainGrace):
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		}
+		for _, i := range removed {
+			for _, d := range i.last(word[i]) {
+				if d > drainGrace {
+					late++
+				}
+			}
+			i.server.Close()
+		}
+		mu.Lock()
+		for name := range changes {
+			if b.all[name] != nil && !slices.ContainsFunc(added, func(i *listed) bool { return i.name == name }) {
+				touched++
+			}
+		}
+		mu.Unlock()
+	}
+	stop()
+	sent, failed, note := ended()
+	if note != "" {
+		out.Notes = append(out.Notes, "the last failure: "+note)
+	}
+	out.Tell("removals in gaps that were compacted", float64(repeats*15))
+	spread(out, "return of etcd to removal seen", back)
+	out.Hold("senders at removed ones 500 ms after the word", float64(late), "0", late == 0)
+	out.Hold("survivors of which something changed", float64(touched), "0", touched == 0)
+	out.Tell("requests", float64(sent))
+	out.Hold("failed", float64(failed), "0", failed == 0)
+	for n, t := range r.tables {
+		out.Hold(fmt.Sprintf("proxy-%d: lists emptied", n), float64(t.Emptied()), "0", t.Emptied() == 0)
+	}
+	return out, nil
+}
--- a/internal/lab/proxy/table.go
+++ b/internal/lab/proxy/table.go
@@ -36,6 +36,9 @@
 	// before the Table is used.
 	Busy func(cluster, address string) int
 
+	// Changed is told the endpoints of a cluster that take requests whenever they are told, if it is set before the Table is used.
+	Changed func(cluster string, addresses []string)
+
 	mu        sync.Mutex
 	routes    *routes.RouteConfiguration
 	clusters  map[string]float64     // the bias of least request of each, 0 where it does not ask for it
@@ -108,6 +111,13 @@
 		pass *= 1 - float64(d.GetDropPercentage().GetNumerator())/of
 	}
 	t.drops[a.ClusterName] = 1 - pass
+	if t.Changed != nil {
+		addresses := make([]string, 0, len(list))
+		for _, e := range list {
+			addresses = append(addresses, e.Address)
+		}
+		t.Changed(a.ClusterName, addresses)
+	}
 	return nil
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -10,7 +10,7 @@
 //   - Within one source and one history its own later word replaces the earlier, by revision. What is of an older revision is
 //     not taken, whoever brings it.
 //   - A source whose history is another (a cluster restored from a backup, another discovery) keeps the bad words of the one
-//     before; a good word takes one back only if it was written since, never if it stands in the first list.
+//     before; a good word takes one back only if it was written since, never as it stands in the first list.
 //   - What a source's whole list leaves out is gone. A list that names nobody, or under a share of what the source named
 //     before, is held: what it leaves out stays for a time, unless a later list or a word of its own says otherwise. What is
 //     told one by one is always believed.
@@ -77,6 +77,7 @@
 	rank   int
 	spoken bool
 	at     At
+	first  int64 // revision of its history's first list
 	words  map[string]*word
 	before map[string]*word // bad words of earlier histories
 	lost   bool
@@ -131,6 +132,11 @@
 
 // Whole takes a source's whole list. It tells whether the list was taken: one of an older revision of the same history is not.
 func (m *Merger) Whole(now time.Duration, from string, at At, list []routing.Member) bool {
+	return m.WholeWritten(now, from, at, list, nil)
+}
+
+// WholeWritten is Whole for a source that knows at which revision it was last written what stands in its list, by name.
+func (m *Merger) WholeWritten(now time.Duration, from string, at At, list []routing.Member, written map[string]int64) bool {
 	s := m.sources[from]
 	if s == nil {
 		return false
@@ -146,6 +152,9 @@
 			}
 		}
 	}
+	if !s.spoken || s.at.History != at.History {
+		s.first = at.Revision
+	}
 	before := s.named()
 	if s.hold != nil {
 		before = s.hold.before
@@ -157,6 +166,9 @@
 			continue
 		}
 		listed[d.Name] = true
+		if d.State == balance.Ready && written[d.Name] > s.first { // in this history, since its first list
+			delete(s.before, d.Name)
+		}
 		s.words[d.Name] = take(now, s.words[d.Name], d)
 		m.dirty[d.Name] = true
 	}
