--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -72,6 +72,8 @@
 		{"name: partner", "name: a b", `pools[1].name: a pool has a name`},
 		{"{file: partner.yaml}", "{}", "c.yaml:14:14: pools[1].members: discovery or file is needed"},
 		{"{file: partner.yaml}", "{file: x, discovery: y}", "pools[1].members.file: discovery is given, too"},
+		{"{file: partner.yaml}", `{file: x, serve: "127.0.0.1:1"}`, "pools[1].members: etcd, merge and serve are kitewood-control's"},
+		{"via: answers", "via: orca", "pools[0].reports: via: orca and every are kitewood-control's"},
 		{`"127.0.0.1:8500"`, "x:1", "c.yaml:5:26: pools[0].members.discovery: an IP"},
 		{"name: look", "name: pay", `c.yaml:8:16: pools[0].classes[1].name: "pay" stands twice`},
 		{"effect: safe", "effect: maybe", `c.yaml:7:30: pools[0].classes[0].effect: safe, keyed or unsafe, not "maybe"`},
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -195,6 +195,9 @@
 		"pool: a}":        {"pool: a, as: any}", "routes[0].as: proxies know no classes"},
 		"name: a,":        {"name: kitewood,", "pools[0].name"},
 		"[{name: any":     {"[{name: any, aim: 2", "c.yaml:5:"},
+		"file: a.yaml}":   {"etcd: {endpoints: [], prefix: \"\", form: odd, user: u}, serve: x}", "etcd.endpoints: at least one is needed"},
+		"{file: a.yaml}":  {"{file: a.yaml, merge: {hold_below: 2}}", "pools[0].members.merge"},
+		"members: {file":  {"reports: {via: probes, fields: [util], every: -1s}, members: {file", "pools[0].reports.every: is negative"},
 	} {
 		if _, err := Read("c.yaml", []byte(strings.Replace(good, from, c[0], 1))); err == nil || !strings.Contains(err.Error(), c[1]) {
 			t.Errorf("%s: %v", c[0], err)
