Drill etcd-scale: a change among many keys until many watchers have it

Need: change-to-seen at 10 to 20,000 keys and 1 to 1,000 watchers, with the service's memory and processor time, was not measured.

--- a/internal/lab/drill/etcdrig.go
+++ b/internal/lab/drill/etcdrig.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -82,6 +83,7 @@
 	cluster  *etcd.Cluster
 	service  *child.Control
 	admin    string
+	served   string // where the merged list is offered
 	sidecars []*child.Child
 	fronts   []string // of the sidecars
 	tables   []*proxy.Table
@@ -105,19 +107,21 @@
 	if r.cluster, err = etcd.New(etcd.Options{Members: 3}); err != nil {
 		return r, err
 	}
-	serve, err := child.FreeAddress()
-	if err != nil {
+	if r.served, err = child.FreeAddress(); err != nil {
 		return r, err
 	}
 	endpoints, _ := json.Marshal(r.cluster.Addresses())
 	rest := fmt.Sprintf("admin: %s\npools:\n  - {name: web, members: {etcd: {endpoints: %s, prefix: %s}, serve: %q%s}, "+
-		"classes: [{name: any, effect: unsafe, aim: 1s, deadline: 3s}]}\nroutes: [{hosts: [web.test], pool: web}]\n", r.admin, endpoints, etcdPrefix, serve, more)
+		"classes: [{name: any, effect: unsafe, aim: 1s, deadline: 3s}]}\nroutes: [{hosts: [web.test], pool: web}]\n", r.admin, endpoints, etcdPrefix, r.served, more)
 	if r.service, err = child.StartControl(o.Control, dir, "control", rest, "GOMAXPROCS=4"); err != nil {
 		return r, err
 	}
 	if err := r.until(ctx, "the service shows its members", func() bool { _, err := control.AskMembers(r.admin); return err == nil }); err != nil {
 		return r, err
 	}
+	if told == nil && sidecars+proxies == 0 { // nobody asks what was seen when, and following costs the service a look at all
+		return r, nil
+	}
 	r.wait.Go(func() {
 		control.FollowMembers(ctx, r.admin, func(c control.MemberChange) error {
 			r.note("service", c.Now.Name+" "+c.Now.State)
@@ -155,7 +159,7 @@
 		}
 		path := filepath.Join(dir, fmt.Sprintf("sidecar-%d.yaml", n))
 		text := fmt.Sprintf("name: sidecar-%d\nlisteners: [{address: %q}]\npools:\n  - {name: web, members: {discovery: %q}, sidecars: {me: %d, of: %d}, "+
-			"classes: [{name: any, effect: safe, aim: 1s, deadline: 3s}]}\nroutes: [{pool: web}]\n", n, front, serve, n, sidecars)
+			"classes: [{name: any, effect: safe, aim: 1s, deadline: 3s}]}\nroutes: [{pool: web}]\n", n, front, r.served, n, sidecars)
 		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
 			return r, err
 		}
@@ -187,6 +191,17 @@
 	return t, !t.IsZero()
 }
 
+// list is the merged list as sidecars get it.
+func (r *etcdRig) list() (string, error) {
+	a, err := http.Get("http://" + r.served + "/registry/instances")
+	if err != nil {
+		return "", err
+	}
+	defer a.Body.Close()
+	text, err := io.ReadAll(a.Body)
+	return string(text), err
+}
+
 // until waits until something is so, a minute at the most.
 func (r *etcdRig) until(ctx context.Context, what string, is func() bool) error {
 	for end := time.Now().Add(controlWait); !is(); {
