Control service gathers bursts of changes; watchers of the served list share its lines

Change: changes within 10 ms of one that was told are told together; lines are written without a copy; any later write of a restored cluster takes the place of older words.

--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -33,6 +33,9 @@
 	fromDiscovery = "discovery"
 )
 
+// burst is how long changes are gathered after one was told. The first is told at once.
+const burst = 10 * time.Millisecond
+
 // Between two watches of discovery, so that services which lost it together do not ask together.
 const (
 	leastAgain = 300 * time.Millisecond
@@ -51,7 +54,8 @@
 
 	mu      sync.Mutex
 	merger  *membership.Merger
-	version int64 // of what the Loop was told
+	version int64         // of what the Loop was told
+	told    time.Duration // when the Loop was last told
 	alarm   *time.Timer
 	changed chan struct{} // closed at the next change
 }
@@ -160,9 +164,14 @@
 	if m.ctx.Err() != nil || !m.merger.Known() {
 		return
 	}
+	if wait := m.told + burst - now; wait > 0 { // more may come: telling the Loop costs a look at the whole list
+		m.wake(wait)
+		return
+	}
 	changed := m.merger.Merge(now)
 	if m.version == 0 || len(changed) > 0 {
 		m.version++
+		m.told = now
 		kind := balance.Delta
 		if m.version == 1 {
 			kind, changed = balance.Full, m.merger.List()
@@ -173,11 +182,16 @@
 		m.loop.Pool(kind, m.version, changed)
 	}
 	if at, any := m.merger.Next(now); any {
-		if m.alarm != nil {
-			m.alarm.Stop()
-		}
-		m.alarm = time.AfterFunc(max(at-now, time.Millisecond), func() { m.do(func(time.Duration) {}) })
+		m.wake(max(at-now, time.Millisecond))
+	}
+}
+
+// wake has tell called again after a time. The lock is held.
+func (m *members) wake(after time.Duration) {
+	if m.alarm != nil {
+		m.alarm.Stop()
 	}
+	m.alarm = time.AfterFunc(after, func() { m.do(func(time.Duration) {}) })
 }
 
 // view is what is known, and a channel that closes at the next change.
--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -199,10 +199,9 @@
 	return text, s.history.Index(), s.changed, err
 }
 
-// chunk appends a line as a chunk of the answer.
-func chunk(b, line []byte) []byte {
-	b = fmt.Appendf(b, "%x\r\n", len(line)+1)
-	return append(append(b, line...), "\n\r\n"...)
+// chunk appends a line as a chunk of the answer. The line is not copied: a thousand watchers share one of megabytes.
+func chunk(out net.Buffers, line []byte) net.Buffers {
+	return append(out, fmt.Appendf(nil, "%x\r\n", len(line)+1), line, []byte("\n\r\n"))
 }
 
 // watch writes what changes until its connection ends. It holds nobody else up: each watch reads the lines, which all share, at
@@ -222,7 +221,7 @@
 		conn.SetReadDeadline(time.Time{})
 		conn.Read(make([]byte, 1))
 	}()
-	out := []byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")
+	out := net.Buffers{[]byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")}
 	timer := time.NewTimer(beat)
 	defer timer.Stop()
 	for first := true; ; first = false {
@@ -239,10 +238,11 @@
 			out = chunk(out, line)
 		}
 		since = index
-		if len(out) > 0 && !s.write(conn, out) {
+		conn.SetWriteDeadline(time.Now().Add(writing))
+		if _, err := out.WriteTo(conn); err != nil {
 			return
 		}
-		out = out[:0]
+		out = nil
 		timer.Reset(beat)
 		select {
 		case <-more:
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -10,7 +10,7 @@
 //   - Within one source and one history its own later word replaces the earlier, by revision. What is of an older revision is
 //     not taken, whoever brings it.
 //   - A source whose history is another (a cluster restored from a backup, another discovery) keeps the bad words of the one
-//     before; a good word takes one back only if it was written since, never as it stands in the first list.
+//     before, until a word that was written since takes their place; what stands in its first list never does.
 //   - What a source's whole list leaves out is gone. A list that names nobody, or under a share of what the source named
 //     before, is held: what it leaves out stays for a time, unless a later list or a word of its own says otherwise. What is
 //     told one by one is always believed.
@@ -166,7 +166,7 @@
 			continue
 		}
 		listed[d.Name] = true
-		if d.State == balance.Ready && written[d.Name] > s.first { // in this history, since its first list
+		if written[d.Name] > s.first { // in this history, since its first list: newer than all that was said before
 			delete(s.before, d.Name)
 		}
 		s.words[d.Name] = take(now, s.words[d.Name], d)
@@ -236,9 +236,7 @@
 	s.at, s.lost, s.heard = at, false, now
 	for _, d := range changes {
 		s.words[d.Name] = take(now, s.words[d.Name], d)
-		if d.State == balance.Ready { // it was written in this history, since its first list
-			delete(s.before, d.Name)
-		}
+		delete(s.before, d.Name) // it was written in this history, since its first list
 		if s.hold != nil {
 			delete(s.hold.missing, d.Name)
 		}
