--- a/cmd/kitewood-control/main_test.go
+++ b/cmd/kitewood-control/main_test.go
@@ -71,6 +71,9 @@
 	if !strings.Contains(out, `"proxies": []`) {
 		t.Errorf("status: %q", out)
 	}
+	if out, bad, ok := testkit.Run(t, program, "members", "--config", path); !ok || !strings.Contains(out, "x            127.0.0.1:1  ready  file: ready") {
+		t.Errorf("members: %q, %q", out, bad)
+	}
 	cmd.Process.Signal(syscall.SIGTERM)
 	if err := cmd.Wait(); err != nil || !strings.Contains(log.String(), "stopped") {
 		t.Errorf("%v: %s", err, log.String())
--- a/internal/control/members_test.go
+++ b/internal/control/members_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"log/slog"
@@ -11,6 +13,9 @@
 	"testing"
 	"time"
 
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
 	"kitewood/balance"
 	"kitewood/internal/directory"
 	"kitewood/internal/filewatch"
@@ -135,3 +140,51 @@
 	until("x")
 	testkit.Until(t, "the end of e is followed", func() bool { return <-seen == "e gone" })
 }
+
+// Over TLS a service with a certificate of the right authority follows etcd, and one without gets nothing.
+func TestEtcdOverTLS(t *testing.T) {
+	ca, stranger := newAuthority(t), newAuthority(t)
+	dir := t.TempDir()
+	cert, key := ca.named("localhost")
+	pair, err := tls.X509KeyPair(cert, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	trusted := x509.NewCertPool()
+	trusted.AddCert(ca.cert)
+	cluster, err := etcd.New(etcd.Options{Server: []grpc.ServerOption{grpc.Creds(credentials.NewTLS(&tls.Config{Certificates: []tls.Certificate{pair},
+		ClientCAs: trusted, ClientAuth: tls.RequireAndVerifyClientCert}))}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer cluster.Stop()
+	cluster.Put("/a/x", `{"address":"10.0.0.1:1"}`)
+	for who, own := range map[string]*authority{"known": ca, "stranger": stranger} {
+		cert, key := own.named("service")
+		for name, text := range map[string][]byte{"ca.pem": ca.pem, "cert.pem": cert, "key.pem": key} {
+			if err := filewatch.Replace(filepath.Join(dir, name), text); err != nil {
+				t.Fatal(err)
+			}
+		}
+		f, err := Read(filepath.Join(dir, "c.yaml"), []byte(strings.Replace(good, "file: a.yaml", fmt.Sprintf(
+			"etcd: {endpoints: [%q], prefix: /a/, ca: ca.pem, certificate: cert.pem, key: key.pem}", strings.Replace(cluster.Members[0].Address, "127.0.0.1", "localhost", 1)), 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		clock := routing.NewClock()
+		service, err := Start(ctx, f, watch(t), xdsserver.NewHub(clock.Now), clock, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if who == "known" {
+			testkit.Until(t, "the list comes", func() bool { return service.Members()[0].Sources[0].Named == 1 })
+		} else {
+			testkit.Until(t, "the source is lost", func() bool { return service.Members()[0].Sources[0].Lost })
+			if s := service.Members()[0].Sources[0]; s.Named != 0 {
+				t.Errorf("a stranger is told %d destinations", s.Named)
+			}
+		}
+		cancel()
+	}
+}
