etcd is asked again within 0.75 s: a pause of up to 3 s outlasted the last fault

Change: half a second at the longest. The drills share the start of their instances, the stand-in's writes one way to the leader.

--- a/internal/etcdsource/source.go
+++ b/internal/etcdsource/source.go
@@ -47,9 +47,9 @@
 	dead     = time.Second     // without an answer to that, after which it is dead
 	reading  = 2 * time.Second // for a list, and for a watch to begin
 	least    = 50 * time.Millisecond
-	longest  = 2 * time.Second  // between two attempts
-	fallBack = 30 * time.Second // after which a revision that only falls back counts as another history
-	maxList  = 256 << 20        // bytes of a list
+	longest  = 500 * time.Millisecond // between two attempts, half of it to half more: services that follow a cluster are few
+	fallBack = 30 * time.Second       // after which a revision that only falls back counts as another history
+	maxList  = 256 << 20              // bytes of a list
 )
 
 // source is a prefix that is followed.
@@ -94,7 +94,7 @@
 		}
 		take.Lost()
 		o.Log.Warn("the watch of etcd has ended", "endpoint", o.Endpoints[n], "revision", s.last, "error", err)
-		if time.Since(began) > longest {
+		if time.Since(began) > quiet+dead { // it had a watch
 			pause = least
 		}
 		if !errors.Is(err, rpctypes.ErrCompacted) { // that is no fault of the member: the list is read there at once
--- a/internal/lab/drill/etcdburst.go
+++ b/internal/lab/drill/etcdburst.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"kitewood/internal/control"
 )
 
 // etcdBurstDrill replaces much of a pool within a second, by way of etcd.
@@ -29,6 +31,33 @@
 	all  map[string]*listed // by name
 }
 
+// startBystanders starts a rig with instances that are listed and have long been up, two proxies and some sidecars, and waits until
+// all can send.
+func startBystanders(ctx context.Context, o Options, name string, n, sidecars int, told func(control.MemberChange)) (*bystanders, error) {
+	dir, err := scratch(o, name)
+	if err != nil {
+		return nil, err
+	}
+	r, err := startEtcdRig(ctx, o, dir, "", sidecars, 2, told)
+	if err != nil {
+		return nil, err
+	}
+	b := &bystanders{rig: r, all: map[string]*listed{}}
+	for range n {
+		if _, err = b.add(time.Time{}); err != nil {
+			break
+		}
+	}
+	if err == nil {
+		err = r.ready(ctx)
+	}
+	if err != nil {
+		b.stop()
+		return nil, err
+	}
+	return b, nil
+}
+
 // add starts an instance and lists it.
 func (b *bystanders) add(started time.Time) (*listed, error) {
 	i, err := newListed(fmt.Sprintf("i%04d", b.next))
@@ -59,6 +88,7 @@
 }
 
 func (b *bystanders) stop() {
+	b.rig.stop()
 	for _, i := range b.all {
 		i.server.Close()
 	}
@@ -72,25 +102,12 @@
 	if o.Repeats > 0 {
 		repeats = o.Repeats
 	}
-	dir, err := scratch(o, "etcd-burst")
-	if err != nil {
-		return nil, err
-	}
-	r, err := startEtcdRig(ctx, o, dir, "", 2, 2, nil)
+	b, err := startBystanders(ctx, o, "etcd-burst", burstSize, 2, nil)
 	if err != nil {
 		return nil, err
 	}
-	defer r.stop()
-	b := &bystanders{rig: r, all: map[string]*listed{}}
 	defer b.stop()
-	for range burstSize {
-		if _, err := b.add(time.Time{}); err != nil {
-			return nil, err
-		}
-	}
-	if err := r.ready(ctx); err != nil {
-		return nil, err
-	}
+	r := b.rig
 	loaded, stop := context.WithCancel(ctx)
 	defer stop()
 	ended := r.load(loaded)
--- a/internal/lab/drill/etcdcompact.go
+++ b/internal/lab/drill/etcdcompact.go
@@ -32,13 +32,9 @@
 	if o.Repeats > 0 {
 		repeats = o.Repeats
 	}
-	dir, err := scratch(o, "etcd-compact")
-	if err != nil {
-		return nil, err
-	}
 	var mu sync.Mutex
 	changes := map[string]int{} // by name
-	r, err := startEtcdRig(ctx, o, dir, "", 1, 2, func(c control.MemberChange) {
+	b, err := startBystanders(ctx, o, "etcd-compact", 40, 1, func(c control.MemberChange) {
 		mu.Lock()
 		defer mu.Unlock()
 		changes[c.Now.Name]++
@@ -46,17 +42,8 @@
 	if err != nil {
 		return nil, err
 	}
-	defer r.stop()
-	b := &bystanders{rig: r, all: map[string]*listed{}}
 	defer b.stop()
-	for range 40 {
-		if _, err := b.add(time.Time{}); err != nil {
-			return nil, err
-		}
-	}
-	if err := r.ready(ctx); err != nil {
-		return nil, err
-	}
+	r := b.rig
 	loaded, stop := context.WithCancel(ctx)
 	defer stop()
 	ended := r.load(loaded)
--- a/internal/lab/etcd/services.go
+++ b/internal/lab/etcd/services.go
@@ -40,63 +40,44 @@
 	return out, nil
 }
 
-// write makes a change at the leader, whichever member it came to.
-func (s *kvServer) write(change func(*store) error) (*etcdserverpb.ResponseHeader, error) {
+// atLeader makes a change at the leader, whichever member it came to, and gives the answer with its header.
+func atLeader[R any](s *kvServer, change func(*store) (R, error), head func(R, *etcdserverpb.ResponseHeader)) (R, error) {
 	c := s.m.c
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err := change(c.store); err != nil {
-		return nil, err
+	out, err := change(c.store)
+	if err != nil {
+		return out, err
 	}
 	c.notify()
 	h := s.m.header()
 	h.Revision = c.store.revision
-	return h, nil
+	head(out, h)
+	return out, nil
 }
 
 // Put writes a key.
-func (s *kvServer) Put(_ context.Context, q *etcdserverpb.PutRequest) (out *etcdserverpb.PutResponse, err error) {
-	h, err := s.write(func(st *store) (err error) {
+func (s *kvServer) Put(_ context.Context, q *etcdserverpb.PutRequest) (*etcdserverpb.PutResponse, error) {
+	return atLeader(s, func(st *store) (*etcdserverpb.PutResponse, error) {
 		w := st.begin()
-		if out, err = w.put(q); err == nil {
-			w.end()
-		}
-		return err
-	})
-	if err != nil {
-		return nil, err
-	}
-	out.Header = h
-	return out, nil
+		defer w.end()
+		return w.put(q)
+	}, func(r *etcdserverpb.PutResponse, h *etcdserverpb.ResponseHeader) { r.Header = h })
 }
 
 // DeleteRange deletes keys.
-func (s *kvServer) DeleteRange(_ context.Context, q *etcdserverpb.DeleteRangeRequest) (out *etcdserverpb.DeleteRangeResponse, err error) {
-	h, err := s.write(func(st *store) (err error) {
+func (s *kvServer) DeleteRange(_ context.Context, q *etcdserverpb.DeleteRangeRequest) (*etcdserverpb.DeleteRangeResponse, error) {
+	return atLeader(s, func(st *store) (*etcdserverpb.DeleteRangeResponse, error) {
 		w := st.begin()
-		if out, err = w.deleteRange(q); err == nil {
-			w.end()
-		}
-		return err
-	})
-	if err != nil {
-		return nil, err
-	}
-	out.Header = h
-	return out, nil
+		defer w.end()
+		return w.deleteRange(q)
+	}, func(r *etcdserverpb.DeleteRangeResponse, h *etcdserverpb.ResponseHeader) { r.Header = h })
 }
 
 // Txn does one of two lists of operations.
-func (s *kvServer) Txn(_ context.Context, q *etcdserverpb.TxnRequest) (out *etcdserverpb.TxnResponse, err error) {
-	h, err := s.write(func(st *store) (err error) {
-		out, err = st.txn(q)
-		return err
-	})
-	if err != nil {
-		return nil, err
-	}
-	out.Header = h
-	return out, nil
+func (s *kvServer) Txn(_ context.Context, q *etcdserverpb.TxnRequest) (*etcdserverpb.TxnResponse, error) {
+	return atLeader(s, func(st *store) (*etcdserverpb.TxnResponse, error) { return st.txn(q) },
+		func(r *etcdserverpb.TxnResponse, h *etcdserverpb.ResponseHeader) { r.Header = h })
 }
 
 // Compact forgets history.
