Membership read back: no server where nothing is served, one wait, one look-up by address

Need: the change read once more against what the project had. The burst drill tells beside it when the platform's discovery would have told.

--- a/cmd/kitewood-control/main.go
+++ b/cmd/kitewood-control/main.go
@@ -76,14 +76,11 @@
 				Name: "status", Usage: "show the proxies of the process that serves a configuration, from its admin socket",
 				Flags: []cli.Flag{file(), &cli.BoolFlag{Name: "json", Usage: "print JSON"}},
 				Action: func(_ context.Context, c *cli.Command) error {
-					f, err := control.Load(c.String("config"))
+					socket, err := adminOf(c)
 					if err != nil {
 						return err
 					}
-					if f.Admin == "" {
-						return errors.New("admin is not set in the configuration: the process shows nothing")
-					}
-					s, err := control.Ask(f.Admin)
+					s, err := control.Ask(socket)
 					if err != nil {
 						return fmt.Errorf("admin: %w", err)
 					}
@@ -99,14 +96,11 @@
 				Name: "members", Usage: "show the merged lists of destinations, what each source says of them, and what is held",
 				Flags: []cli.Flag{file(), &cli.BoolFlag{Name: "json", Usage: "print JSON"}, &cli.BoolFlag{Name: "follow", Usage: "go on with each change"}},
 				Action: func(ctx context.Context, c *cli.Command) error {
-					f, err := control.Load(c.String("config"))
+					socket, err := adminOf(c)
 					if err != nil {
 						return err
 					}
-					if f.Admin == "" {
-						return errors.New("admin is not set in the configuration: the process shows nothing")
-					}
-					return members(ctx, c.Root().Writer, f.Admin, c.Bool("json"), c.Bool("follow"))
+					return members(ctx, c.Root().Writer, socket, c.Bool("json"), c.Bool("follow"))
 				},
 			},
 			{
@@ -120,6 +114,18 @@
 	}
 }
 
+// adminOf is the admin socket that a command's configuration names.
+func adminOf(c *cli.Command) (string, error) {
+	f, err := control.Load(c.String("config"))
+	if err != nil {
+		return "", err
+	}
+	if f.Admin == "" {
+		return "", errors.New("admin is not set in the configuration: the process shows nothing")
+	}
+	return f.Admin, nil
+}
+
 // table writes a status for people.
 func table(out io.Writer, s control.Status) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
--- a/internal/control/adminmembers.go
+++ b/internal/control/adminmembers.go
@@ -23,8 +23,12 @@
 	out := []MembersStatus{}
 	for _, name := range slices.Sorted(maps.Keys(s.pools)) {
 		m := s.pools[name].members
-		entries, sources, _ := m.view()
-		out = append(out, MembersStatus{Pool: name, Sources: sources, Entries: entries, Watches: m.server.Watches()})
+		x := MembersStatus{Pool: name}
+		x.Entries, x.Sources, _ = m.view()
+		if m.server != nil {
+			x.Watches = m.server.Watches()
+		}
+		out = append(out, x)
 	}
 	return out
 }
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -81,15 +81,16 @@
 	}
 	m := &members{ctx: ctx, conf: conf, clock: clock, loop: loop, log: log, rng: rand.New(rand.NewPCG(seed, 2)), merger: membership.New(c),
 		changed: make(chan struct{})}
-	// A run of the service is known by the moment of its start.
-	m.server = directory.NewServer(uint64(clock.Now())^seed, log)
+	if conf.Members.Serve != "" { // a run of the service is known by the moment of its start
+		m.server = directory.NewServer(uint64(clock.Now())^seed, log)
+	}
 	return m
 }
 
 // open starts the sources. A file that cannot be read is an error; the others are tried until they answer.
 func (m *members) open(watcher *filewatch.Watcher) error {
-	if at := m.conf.Members.Serve; at != "" {
-		ln, err := net.Listen("tcp", at)
+	if m.server != nil {
+		ln, err := net.Listen("tcp", m.conf.Members.Serve)
 		if err != nil {
 			return err
 		}
@@ -176,7 +177,9 @@
 		if m.version == 1 {
 			kind, changed = balance.Full, m.merger.List()
 		}
-		m.server.Publish(time.Now(), destinations(changed))
+		if m.server != nil {
+			m.server.Publish(time.Now(), destinations(changed))
+		}
 		close(m.changed)
 		m.changed = make(chan struct{})
 		m.loop.Pool(kind, m.version, changed)
--- a/internal/control/own.go
+++ b/internal/control/own.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"hash/fnv"
+	"slices"
 	"time"
 
 	"kitewood/internal/config"
@@ -54,34 +54,34 @@
 	r.mu.Lock()
 	told := r.waiting[p]
 	delete(r.waiting, p)
-	merged := r.loads.Merge(r.service.clock.Now(), p.conf.Name)
 	r.mu.Unlock()
-	observe(p, told, merged)
+	observe(p, told, r.merged(p))
+}
+
+// merged is what is known of a pool's destinations now.
+func (r *reports) merged(p *pool) map[string]loads.Reading {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loads.Merge(r.service.clock.Now(), p.conf.Name)
 }
 
 // probe asks those destinations of a pool for their load of which neither they nor proxies tell, until the context ends.
 func (s *Service) probe(ctx context.Context, p *pool, each time.Duration) {
 	tick := time.NewTicker(max(each, time.Millisecond))
 	defer tick.Stop()
-	for turn := uint32(0); ; turn = (turn + 1) % turns {
+	var silent []string
+	for turn := 0; ; turn = (turn + 1) % turns {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
 			return
 		}
-		s.reports.mu.Lock()
-		merged := s.reports.loads.Merge(s.clock.Now(), p.conf.Name)
-		s.reports.mu.Unlock()
-		var silent []string
-		for _, a := range *p.open.Load() {
-			h := fnv.New32a()
-			h.Write([]byte(a))
-			if h.Sum32()%turns == turn && len(merged[a].Metrics) == 0 {
-				silent = append(silent, a)
-			}
+		if turn == 0 {
+			merged := s.reports.merged(p)
+			silent = slices.DeleteFunc(slices.Clone(*p.open.Load()), func(a string) bool { return len(merged[a].Metrics) > 0 })
 		}
-		if len(silent) > 0 {
-			p.loop.Probe(silent)
+		if some := silent[turn*len(silent)/turns : (turn+1)*len(silent)/turns]; len(some) > 0 {
+			p.loop.Probe(some)
 		}
 	}
 }
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -27,8 +27,8 @@
 	r.mu.Lock()
 	now := r.service.clock.Now()
 	r.loads.Take(now, proxy, cluster, interval, stats)
-	merged := r.loads.Merge(now, cluster)
 	r.mu.Unlock()
+	merged := r.merged(p)
 	open, served := 0.0, 0.0
 	for _, x := range merged {
 		open, served = open+x.Inflight, served+x.QPS
--- a/internal/lab/drill/controlservice.go
+++ b/internal/lab/drill/controlservice.go
@@ -1,6 +1,8 @@
 package drill
 
 import (
+	"context"
+	"fmt"
 	"time"
 
 	"kitewood/internal/lab/child"
@@ -27,3 +29,23 @@
 
 // stop ends the service and tells whether it ended by itself, with status 0.
 func (c *controlService) stop() bool { return c.Stop(20*time.Second) == "" }
+
+// controlWait is how long until waits.
+const controlWait = 60 * time.Second
+
+// until waits until something is so. It gives up where the control service ends.
+func until(ctx context.Context, service *child.Control, what string, is func() bool) error {
+	for end := time.Now().Add(controlWait); !is(); {
+		select {
+		case <-time.After(5 * time.Millisecond):
+		case <-service.Ended:
+			return fmt.Errorf("the control service has ended: %s", service.Said())
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("not within %s: %s", controlWait, what)
+		}
+	}
+	return nil
+}
--- a/internal/lab/drill/drill.go
+++ b/internal/lab/drill/drill.go
@@ -21,6 +21,17 @@
 	Log     *slog.Logger
 }
 
+// times is how often a drill causes its failure: as often as it was asked to, or its own number for the form.
+func (o *Options) times(long, short int) int {
+	switch {
+	case o.Repeats > 0:
+		return o.Repeats
+	case o.Short:
+		return short
+	}
+	return long
+}
+
 // Figure is one figure of a drill, with the bound that it was held to, if any.
 type Figure struct {
 	Name  string
--- a/internal/lab/drill/etcdburst.go
+++ b/internal/lab/drill/etcdburst.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"kitewood/internal/control"
+	"kitewood/internal/lab/model"
 )
 
 // etcdBurstDrill replaces much of a pool within a second, by way of etcd.
@@ -94,27 +95,49 @@
 	}
 }
 
-func runEtcdBurst(ctx context.Context, o Options) (*Outcome, error) {
-	repeats := 50
-	if o.Short {
-		repeats = 5
+// platformTells are how long after each removal the platform's discovery tells of it, by the lab's model of it with its usual
+// figures: what it is told it sees later, and publishes together with what else has changed meanwhile. Calls and watches come
+// on top.
+func platformTells(rng *rand.Rand, removals []time.Duration) ([]time.Duration, error) {
+	s, err := find("calm")
+	if err != nil {
+		return nil, err
 	}
-	if o.Repeats > 0 {
-		repeats = o.Repeats
+	d := model.NewDiscovery(model.DiscoveryConfig{Period: s.Discovery.Period.D()}, nil)
+	left := map[string]time.Duration{}
+	for n, at := range removals {
+		name := fmt.Sprint(n)
+		left[name] = at
+		d.Change(at+model.Around(rng, s.Discovery.Notice.D()/2), model.Member{Name: name, Status: model.Terminating})
+	}
+	var out []time.Duration
+	for {
+		now, any := d.Next()
+		if !any {
+			return out, nil
+		}
+		u, _ := d.Advance(now)
+		for _, m := range u.Members {
+			out = append(out, now-left[m.Name])
+		}
 	}
+}
+
+func runEtcdBurst(ctx context.Context, o Options) (*Outcome, error) {
+	repeats := o.times(50, 5)
 	b, err := startBystanders(ctx, o, "etcd-burst", burstSize, 2, nil)
 	if err != nil {
 		return nil, err
 	}
 	defer b.stop()
 	r := b.rig
-	loaded, stop := context.WithCancel(ctx)
-	defer stop()
-	ended := r.load(loaded)
+	ended := r.load(ctx)
 	rng := rand.New(rand.NewPCG(o.Seed, 3))
 	out := &Outcome{}
 	seen, last := map[string][]time.Duration{}, map[string][]time.Duration{}
 	unseen, late, before := 0, 0, 0
+	began := time.Now()
+	var removals []time.Duration
 	for range repeats {
 		removed := b.some(rng, burstRemoved)
 		var added []*listed
@@ -124,6 +147,7 @@
 			time.Sleep(gap)
 			before += len(i.last(time.Now().Add(-drainGrace)))
 			b.remove(i)
+			removals = append(removals, i.word.Sub(began))
 			if n < burstAdded {
 				time.Sleep(gap)
 				now := time.Now()
@@ -172,11 +196,12 @@
 			}
 		}
 	}
-	stop()
-	sent, failed, note := ended()
-	if note != "" {
-		out.Notes = append(out.Notes, "the last failure: "+note)
+	platform, err := platformTells(rng, removals)
+	if err != nil {
+		return nil, err
 	}
+	spread(out, "the same removals told by the platform's discovery, as the lab models it", platform)
+	ended(out)
 	out.Hold("changes that somebody has not seen", float64(unseen), "0", unseen == 0)
 	out.Hold("senders at those that left, in the 500 ms before", float64(before), "above 0", before > 0)
 	out.Hold("senders at them after 500 ms", float64(late), "0", late == 0)
@@ -185,10 +210,5 @@
 	}
 	spread(out, "removal to the last request, proxies", last["proxy"])
 	spread(out, "removal to the last request, sidecars", last["sidecar"])
-	out.Tell("requests", float64(sent))
-	out.Hold("failed", float64(failed), "0", failed == 0)
-	for _, t := range r.tables {
-		out.Hold("lists emptied", float64(t.Emptied()), "0", t.Emptied() == 0)
-	}
 	return out, nil
 }
--- a/internal/lab/drill/etcdcompact.go
+++ b/internal/lab/drill/etcdcompact.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -25,13 +24,7 @@
 }
 
 func runEtcdCompact(ctx context.Context, o Options) (*Outcome, error) {
-	repeats := 20
-	if o.Short {
-		repeats = 2
-	}
-	if o.Repeats > 0 {
-		repeats = o.Repeats
-	}
+	repeats := o.times(20, 2)
 	var mu sync.Mutex
 	changes := map[string]int{} // by name
 	b, err := startBystanders(ctx, o, "etcd-compact", 40, 1, func(c control.MemberChange) {
@@ -44,9 +37,7 @@
 	}
 	defer b.stop()
 	r := b.rig
-	loaded, stop := context.WithCancel(ctx)
-	defer stop()
-	ended := r.load(loaded)
+	ended := r.load(ctx)
 	rng := rand.New(rand.NewPCG(o.Seed, 4))
 	out := &Outcome{}
 	var back []time.Duration
@@ -118,19 +109,10 @@
 		}
 		mu.Unlock()
 	}
-	stop()
-	sent, failed, note := ended()
-	if note != "" {
-		out.Notes = append(out.Notes, "the last failure: "+note)
-	}
+	ended(out)
 	out.Tell("removals in gaps that were compacted", float64(repeats*15))
 	spread(out, "return of etcd to removal seen", back)
 	out.Hold("senders at removed ones 500 ms after the word", float64(late), "0", late == 0)
 	out.Hold("survivors of which something changed", float64(touched), "0", touched == 0)
-	out.Tell("requests", float64(sent))
-	out.Hold("failed", float64(failed), "0", failed == 0)
-	for n, t := range r.tables {
-		out.Hold(fmt.Sprintf("proxy-%d: lists emptied", n), float64(t.Emptied()), "0", t.Emptied() == 0)
-	}
 	return out, nil
 }
--- a/internal/lab/drill/etcdrig.go
+++ b/internal/lab/drill/etcdrig.go
@@ -202,26 +202,15 @@
 	return string(text), err
 }
 
-// until waits until something is so, a minute at the most.
+// until waits until something is so.
 func (r *etcdRig) until(ctx context.Context, what string, is func() bool) error {
-	for end := time.Now().Add(controlWait); !is(); {
-		select {
-		case <-time.After(5 * time.Millisecond):
-		case <-r.service.Ended:
-			return fmt.Errorf("the control service has ended: %s", r.service.Said())
-		case <-ctx.Done():
-			return context.Cause(ctx)
-		}
-		if time.Now().After(end) {
-			return fmt.Errorf("not within %s: %s", controlWait, what)
-		}
-	}
-	return nil
+	return until(ctx, r.service, what, is)
 }
 
-// load sends from all proxies and sidecars until the context ends. The function that it returns waits for that and tells how
-// many requests were sent and how many failed, and how the last of them did.
-func (r *etcdRig) load(ctx context.Context) func() (sent, failed int, note string) {
+// load sends from all proxies and sidecars until the context ends or the function that it returns is called, which waits for
+// the end and tells how it went: no request may have failed, and no list have been emptied.
+func (r *etcdRig) load(ctx context.Context) func(*Outcome) {
+	ctx, stop := context.WithCancel(ctx)
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	all, bad, note := 0, 0, ""
@@ -260,7 +249,18 @@
 	for n, front := range r.fronts {
 		run(fmt.Sprintf("sidecar-%d", n), func() (string, error) { return front, nil })
 	}
-	return func() (int, int, string) { wait.Wait(); return all, bad, note }
+	return func(out *Outcome) {
+		stop()
+		wait.Wait()
+		out.Tell("requests", float64(all))
+		out.Hold("failed", float64(bad), "0", bad == 0)
+		if note != "" {
+			out.Notes = append(out.Notes, "the last failure: "+note)
+		}
+		for n, t := range r.tables {
+			out.Hold(fmt.Sprintf("proxy-%d: lists emptied", n), float64(t.Emptied()), "0", t.Emptied() == 0)
+		}
+	}
 }
 
 // ready waits until all proxies and sidecars can send.
--- a/internal/lab/drill/xdsdrain.go
+++ b/internal/lab/drill/xdsdrain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -27,12 +26,11 @@
 }
 
 const (
-	drainGrace  = 500 * time.Millisecond
-	drainFor    = 900 * time.Millisecond // it stays on the list, draining, for so long
-	drainRest   = 250 * time.Millisecond
-	drainEach   = 4 * time.Millisecond // between two requests of a proxy
-	drainHosts  = 4
-	controlWait = 60 * time.Second
+	drainGrace = 500 * time.Millisecond
+	drainFor   = 900 * time.Millisecond // it stays on the list, draining, for so long
+	drainRest  = 250 * time.Millisecond
+	drainEach  = 4 * time.Millisecond // between two requests of a proxy
+	drainHosts = 4
 )
 
 // bootstrap tells gRPC's client where the control service is.
@@ -84,13 +82,7 @@
 }
 
 func runXDSDrain(ctx context.Context, o Options) (*Outcome, error) {
-	drains := 100
-	if o.Short {
-		drains = 10
-	}
-	if o.Repeats > 0 {
-		drains = o.Repeats
-	}
+	drains := o.times(100, 10)
 	dir, err := scratch(o, "xds-drain")
 	if err != nil {
 		return nil, err
@@ -208,29 +200,15 @@
 
 // connected waits until all proxies can send.
 func connected(ctx context.Context, service *controlService, tables []*proxy.Table, api grpc_health_v1.HealthClient) error {
-	until := time.Now().Add(controlWait)
-	for {
-		ready := true
-		for _, table := range tables {
-			ready = ready && table.Ready("web")
-		}
-		if ready {
-			call, cancel := context.WithTimeout(ctx, time.Until(until))
-			defer cancel()
-			if _, err := api.Check(call, &grpc_health_v1.HealthCheckRequest{}, grpc.WaitForReady(true)); err != nil {
-				return fmt.Errorf("gRPC's client: %w", err)
-			}
-			return nil
-		}
-		select {
-		case <-time.After(10 * time.Millisecond):
-		case <-service.Ended:
-			return fmt.Errorf("the control service has ended: %s", service.Said())
-		case <-ctx.Done():
-			return context.Cause(ctx)
-		}
-		if time.Now().After(until) {
-			return errors.New("the lab's proxies have no endpoints within a minute")
-		}
+	if err := until(ctx, service.Control, "the lab's proxies have endpoints", func() bool {
+		return !slices.ContainsFunc(tables, func(t *proxy.Table) bool { return !t.Ready("web") })
+	}); err != nil {
+		return err
+	}
+	call, cancel := context.WithTimeout(ctx, controlWait)
+	defer cancel()
+	if _, err := api.Check(call, &grpc_health_v1.HealthCheckRequest{}, grpc.WaitForReady(true)); err != nil {
+		return fmt.Errorf("gRPC's client: %w", err)
 	}
+	return nil
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -103,7 +103,7 @@
 	was     map[string]bool  // names that were ready once
 	flaps   map[string]*flap
 	gone    map[string]time.Duration // since when a name is not shown, for Config.Keep
-	started bool
+	known   bool
 }
 
 // New returns a Merger that has heard nothing.
@@ -264,7 +264,6 @@
 	if s := m.sources[from]; s != nil && !s.lost {
 		s.lost, s.lostAt = true, now
 	}
-	m.started = m.started || m.heardAll()
 }
 
 // all marks every name as to be looked at.
@@ -278,8 +277,8 @@
 
 // Known tells whether every source has been heard, or been lost, since the start: what is merged before may lack a bad word.
 func (m *Merger) Known() bool {
-	m.started = m.started || m.heardAll()
-	return m.started
+	m.known = m.known || m.heardAll()
+	return m.known
 }
 
 func (m *Merger) heardAll() bool {
--- a/internal/routing/observe.go
+++ b/internal/routing/observe.go
@@ -1,11 +1,5 @@
 package routing
 
-import (
-	"slices"
-
-	"kitewood/balance"
-)
-
 // Observation is what others saw of a destination: see balance.Balancer.Observed.
 type Observation struct {
 	Address string
@@ -17,9 +11,10 @@
 // has are passed over.
 func (l *Loop) Probe(addresses []string) {
 	l.post(func() {
-		for _, d := range l.pool.byName {
-			if slices.Contains(addresses, d.Address) {
-				host{l}.Probe(d.ID)
+		ids := l.pool.byAddress()
+		for _, a := range addresses {
+			if id, known := ids[a]; known {
+				host{l}.Probe(id)
 			}
 		}
 	})
@@ -29,10 +24,7 @@
 // are passed over.
 func (l *Loop) Observe(all []Observation) {
 	l.post(func() {
-		ids := make(map[string]balance.ServerID, len(l.pool.byName))
-		for _, d := range l.pool.byName {
-			ids[d.Address] = d.ID
-		}
+		ids := l.pool.byAddress()
 		for _, o := range all {
 			if id, known := ids[o.Address]; known {
 				l.balancer.Observed(l.Now(), id, o.Failed, o.Load)
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -93,6 +93,15 @@
 	}
 }
 
+// byAddress are the ids of all destinations.
+func (p *pool) byAddress() map[string]balance.ServerID {
+	out := make(map[string]balance.ServerID, len(p.byName))
+	for _, d := range p.byName {
+		out[d.Address] = d.ID
+	}
+	return out
+}
+
 // name finds or makes the destination of a name. Its id is a hash of the name, for every sidecar must know it by the
 // same; where two names share one, the later takes the next that is free.
 func (p *pool) name(name string) *Destination {
