--- a/internal/lab/etcd/cluster.go
+++ b/internal/lab/etcd/cluster.go
@@ -242,12 +242,18 @@
 
 // Restore makes a cluster of a backup, as etcd's tool does: its data and revision, another cluster id. Members are started anew
 // at their addresses.
-func (c *Cluster) Restore(s Snapshot) error {
+func (c *Cluster) Restore(s Snapshot) error { return c.restore(s, 1) }
+
+// RestoreInPlace is Restore under the old cluster id, which follows from the members' addresses and the token: where an operator
+// gives the same ones, it is the same.
+func (c *Cluster) RestoreInPlace(s Snapshot) error { return c.restore(s, 0) }
+
+func (c *Cluster) restore(s Snapshot, id uint64) error {
 	for _, m := range c.Members {
 		m.Stop()
 	}
 	c.mu.Lock()
-	c.id++
+	c.id += id
 	c.store = s.store.clone()
 	for _, l := range c.expiry {
 		l.timer.Stop()
