--- a/internal/lab/etcd/cluster.go
+++ b/internal/lab/etcd/cluster.go
@@ -233,6 +233,9 @@
 // Snapshot is the cluster's data at a moment, as a backup has it.
 type Snapshot struct{ store *store }
 
+// Revision is that of its last write.
+func (s Snapshot) Revision() int64 { return s.store.revision }
+
 // Backup takes a Snapshot.
 func (c *Cluster) Backup() Snapshot {
 	c.mu.Lock()
