Room goes to what waits longest or is worth most; repeats are earned; trials in turn

Cause: with 256 callers in a closed loop and never more than 256 waiting, operations waited 1.1 s and were refused: next gave every room to the youngest, also where all that waited would have been served in 20 ms. Each process started with 8 saved repeats, and all who had ejected a server tried it again at the same moment.

Change: the oldest that waits goes first while all that wait are served within a sixteenth of the mean aim; else the youngest of a protected class, else the youngest. Repeats that may have run are earned by sends alone, 64 saved up by all balancers together. The return to a server is spread by server and balancer over as many sixteenths of the aim as balancers share it. Requests may name an origin: at one level all balancers refuse the same. What lies below may decline for good.

--- a/balance/api.go
+++ b/balance/api.go
@@ -116,6 +116,8 @@
 	Probes, Peers, Cancel, SecondCopies, RetryAfter bool
 	MaxAttempts                                     int // attempts for one request; at least 1
 	MaxRetryAfter                                   time.Duration
+	RetryShare                                      float64 // repeats of what may have run, as a share of first sends; 0 for the module's own
+	RetryBurst                                      float64 // and how many of them all balancers together can save up; 0 for the module's own
 }
 
 // Rules are the figures of the rules that are kept without fail.
@@ -173,10 +175,11 @@
 	Reset                // the connection broke; it may have run
 	Cancelled            // withdrawn; it may have run
 	Moot                 // not sent; it never ran
+	Declined             // refused for good by what lies below, and passed on as the final answer
 )
 
 func (s Status) String() string {
-	return [...]string{"none", "ok", "error", "turned away", "timed out", "connect failed", "reset", "called off", "not sent"}[s]
+	return [...]string{"none", "ok", "error", "turned away", "timed out", "connect failed", "reset", "called off", "not sent", "declined"}[s]
 }
 
 // Outcome tells how an attempt ended.
@@ -199,6 +202,7 @@
 	Deadline time.Duration // when this try is given up
 	Hint     float64       // guess of its cost in seconds of a core; 0 for none
 	Repeat   bool          // marked by the client as a repeat
+	Origin   uint64        // hash of whom it comes from, the same at all balancers and for a client's repeats; 0 for not known
 }
 
 // AllPeers addresses a message to every other balancer of the tier.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -81,7 +82,7 @@
 	r.out, b.out = r.out+1, b.out+1
 	s.out = append(s.out, a)
 	s.coldNext = now + b.coldGap(s, now)
-	b.retries = min(b.retries+retryShare, retryBurst)
+	b.earnRetry()
 	b.host.Send(r.ID, s.ID, left)
 	if a.due < now+left {
 		b.host.Timer(a.due-now, timerOverdue|uint64(len(r.attempts)-1)<<32|uint64(r.ID))
@@ -101,7 +102,7 @@
 	}
 	if !b.looks { // they look for a server again soon: a cold one may take more by then
 		b.looks = true
-		b.host.Timer(max(b.set.Tick, b.meanAim/16), timerParked)
+		b.host.Timer(b.lookAgain(), timerParked)
 	}
 }
 
@@ -116,18 +117,22 @@
 	}
 }
 
-// next gives the room that an answer leaves to the youngest that waits: if one of two will be late, it is the
-// one that can still be in time.
+// next gives the room that an answer leaves to the oldest that waits, while all are served in a moment.
+// Where that takes longer not all can be in time: then to the youngest, which still can, of the worthiest.
 func (b *Balancer) next(now time.Duration) {
 	for n := len(b.parked); n > 0; n = len(b.parked) {
-		r := b.parked[n-1]
-		b.parked, r.parked = b.parked[:n-1], false
+		at := 0
+		if float64(n) >= b.doneRate.get(now, b.meanAim)*b.lookAgain().Seconds() {
+			at = b.lastWorthy()
+		}
+		r := b.parked[at]
 		if !r.ended {
-			b.try(r, now)
+			b.try(r, now) // it keeps its place if none takes it
 		}
-		if r.parked {
+		if !r.ended && r.out == 0 {
 			return
 		}
+		b.parked, r.parked = slices.Delete(b.parked, at, at+1), false
 	}
 }
 
@@ -197,7 +202,7 @@
 		r.mayRun, r.mayRunAt = a.server, a.sent
 	}
 	if o.Closed || o.Status == OK {
-		if !r.ended {
+		if !r.ended && o.Status != Declined {
 			b.done(r, now)
 		}
 		b.end(r)
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -164,6 +165,100 @@
 	}
 }
 
+// Where all that wait are served in a moment, the room goes to the one that has waited longest: none starves behind those
+// that come after it. Who is tried in vain keeps its place.
+func TestAnswersRoomGoesToTheOldestWhereAllAreServedSoon(t *testing.T) {
+	b, h := learned(t, settings(), 2, 10*ms)
+	b.doneRate.v = 5000
+	for i := range RequestID(40) {
+		at := time.Second + time.Duration(i)*ms/10
+		b.Request(at, Request{ID: 1000 + i, Deadline: at + 3*time.Second})
+	}
+	sent, waits := len(h.sends), slices.Clone(b.parked)
+	if len(waits) < 20 {
+		t.Fatalf("%d wait", len(waits))
+	}
+	for n := range 3 {
+		h.outcome(b, 1005*ms+time.Duration(n)*ms, 1000+RequestID(n), OK)
+		if len(h.sends) != sent+n+1 || h.sends[sent+n].id != waits[n].ID {
+			t.Errorf("sends on answer %d: %v, want request %d alone", n, h.sends[sent:], waits[n].ID)
+		}
+	}
+}
+
+// Where they cannot all be in time, what is worth more for its work goes first, the youngest of it.
+func TestAnswersRoomGoesToTheWorthiest(t *testing.T) {
+	b, h := learned(t, settings(), 2, 10*ms)
+	for i := range RequestID(40) {
+		at := time.Second + time.Duration(i)*ms/10
+		b.Request(at, Request{ID: 1000 + i, Deadline: at + 3*time.Second})
+	}
+	b.classes[1].protected = true
+	b.parked[5].Class, b.parked[9].Class = 1, 1
+	sent, want := len(h.sends), []RequestID{b.parked[9].ID, b.parked[5].ID, b.parked[len(b.parked)-1].ID}
+	for n, id := range want {
+		h.outcome(b, 1005*ms+time.Duration(n)*ms, 1000+RequestID(n), OK)
+		if len(h.sends) != sent+n+1 || h.sends[sent+n].id != id {
+			t.Errorf("sends on answer %d: %v, want request %d alone", n, h.sends[sent:], id)
+		}
+	}
+}
+
+// What all balancers of a fleet can save up in repeats is bounded, however many there are, and a new one has none.
+func TestRetriesOfAFleetAddUp(t *testing.T) {
+	for _, of := range []int{1, 8, 50, 300} {
+		set := settings()
+		set.Balancers = of
+		b, h := start(t, set, fleet(9))
+		if b.retries != 0 {
+			t.Errorf("%d balancers: a new one has %g repeats", of, b.retries)
+		}
+		for i := range RequestID(400) {
+			at := time.Duration(i) * ms
+			b.Request(at, Request{ID: i + 1, Deadline: at + 3*time.Second})
+			h.outcome(b, at, i+1, OK)
+		}
+		if most := max(retryBurst, float64(of)); b.retries < 1 || b.retries*float64(of) > most {
+			t.Errorf("%d balancers have %g repeats each, all may have %g", of, b.retries, most)
+		}
+	}
+}
+
+// At one level two balancers refuse the same origins, as many as the level says, and other ones a minute later.
+func TestOneLevelRefusesTheSameOrigins(t *testing.T) {
+	set := settings()
+	a, _ := start(t, set, fleet(9))
+	set.Seed, set.Me = 99, 3
+	b, _ := start(t, set, fleet(9))
+	same, later, refused := 0, 0, 0
+	for i := range uint64(2000) {
+		r := &request{Request: Request{Origin: mix(i)}}
+		if a.lot(r, time.Hour) == b.lot(r, time.Hour+20*time.Second) {
+			same++
+		}
+		if first := a.lot(r, time.Hour) < 0.3; first {
+			refused++
+			if a.lot(r, time.Hour+lotFor) < 0.3 {
+				later++
+			}
+		}
+	}
+	if same != 2000 || refused < 500 || refused > 700 || later > refused/2 {
+		t.Errorf("%d of 2,000 drew alike, %d are refused at 0.3, %d of them a minute later, too", same, refused, later)
+	}
+}
+
+// What lies below has declined is the answer: no other attempt, no word against the server.
+func TestDeclinedEndsARequest(t *testing.T) {
+	b, h := start(t, settings(), fleet(5))
+	b.retries = 8
+	b.Request(0, Request{ID: 1, Deadline: 2 * time.Second})
+	b.Outcome(10*ms, Outcome{ID: 1, Closed: true, Server: h.sends[0].server, Status: Declined})
+	if s := b.servers[h.sends[0].server]; len(h.sends) != 1 || len(h.final) != 0 || s.failed != 0 || s.outUntil != 0 || b.doneAll != 0 || len(b.requests) != 0 {
+		t.Errorf("sends %v, answers %v, %+v, %d done, %d kept", h.sends, h.final, s, b.doneAll, len(b.requests))
+	}
+}
+
 // A repeat whose first try's aim has passed is refused at once; one in time may go out, but no longer than that aim.
 func TestRepeatIsWorthNothingAfterItsFirstTrysAim(t *testing.T) {
 	for _, c := range []struct {
--- a/balance/guard.go
+++ b/balance/guard.go
@@ -25,7 +25,7 @@
 	ejectShare   = 3       // at most one in this many tracked servers is ejected
 	retryShare   = 1.0 / 8 // repeats of what may have run, as a share of first sends
 	parkShare    = 45      // of a request's time, in 100, that it may be parked
-	retryBurst   = 8.0     // repeats that can be saved up
+	retryBurst   = 64.0    // repeats that all balancers together can save up, one each at the least
 	probeShare   = 1.0 / 3 // probes as a share of requests, where only probes bring reports
 	minTracked   = 8       // servers tracked at the least: a mean of fewer is no reference
 	cover        = 8       // and so many that each server is tracked by about this many balancers
@@ -44,7 +44,7 @@
 func (b *Balancer) startGuard(now time.Duration) {
 	b.servers = map[ServerID]*server{}
 	b.tenants = make([]rate, len(b.set.Tenants))
-	b.retries, b.start, b.spill = retryBurst, now, lowest
+	b.start, b.spill = now, lowest
 	b.meanAim = b.set.meanAim()
 	if b.set.Ask {
 		// Many balancers can start at once; discovery answers in turn, so calls are spread.
@@ -322,7 +322,7 @@
 		}
 		// Ejection takes a quiet balancer three time-outs, each on another request that is lost.
 		if o.Status == Timeout && s.served <= a.sent {
-			s.outUntil = max(s.outUntil, now+silentAims*b.meanAim)
+			s.outUntil = max(s.outUntil, now+silentAims*b.meanAim+b.turnAt(s))
 		}
 	case FullUp:
 		b.read(s, 1, now)
@@ -353,11 +353,18 @@
 		return
 	}
 	s.hold = min(max(b.meanAim, 2*s.hold), 8*b.meanAim)
-	s.outUntil, s.trial = now+s.hold, true
+	s.outUntil, s.trial = now+s.hold+b.turnAt(s), true
 	b.host.Log(fmt.Sprintf("server %d ejected for %v: %.0f%% of its outcomes failed, %.0f%% of all",
 		s.ID, s.hold, 100*s.failed, 100*b.failed))
 }
 
+// turnAt spreads the balancers that try a server again, as all who track it have left it for one cause at one
+// time. The order follows from the server and from their numbers; if one is dead the next comes anyway.
+func (b *Balancer) turnAt(s *server) time.Duration {
+	place := float64(mix(s.spot^uint64(b.set.Me))>>11) / (1 << 53)
+	return time.Duration(place * (b.sharers() - 1) * float64(b.lookAgain()))
+}
+
 // Probed takes the answer to a probe.
 func (b *Balancer) Probed(now time.Duration, id ServerID, lag time.Duration, status Status, load []float32) {
 	if s := b.servers[id]; s != nil {
@@ -475,7 +482,7 @@
 		band /= 2
 	}
 	p := b.pressure(now)
-	if p <= from || b.rng.Float64() > chance(p, from, band) {
+	if p <= from || b.lot(r, now) > chance(p, from, band) {
 		return 0, false
 	}
 	b.shed = true
@@ -515,6 +522,14 @@
 
 // --- retries ---
 
+// earnRetry saves a part of a repeat for each send. A new process has none: hundreds of them would bring as
+// many bursts for nothing.
+func (b *Balancer) earnRetry() {
+	l := &b.set.Limits
+	most := cmp.Or(l.RetryBurst, retryBurst) / float64(max(b.set.Balancers, minTracked))
+	b.retries = min(b.retries+cmp.Or(l.RetryShare, retryShare), max(most, 1))
+}
+
 // spendRetry guards against every tier multiplying the load of the tier below it when answers fail.
 func (b *Balancer) spendRetry() bool {
 	if b.retries < 1 {
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -142,6 +142,7 @@
 	list := fleet(9)
 	cell := func(id ServerID) int { return list[id-100].Cell }
 	b, h := start(t, settings(), list)
+	b.retries = 2 // as after enough sends
 	b.Request(0, Request{ID: 1, Class: 2, Deadline: 5 * time.Second})
 	h.outcome(b, 100*ms, 1, Error)
 	if len(h.sends) != 2 || cell(h.sends[0].server) != cell(h.sends[1].server) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -235,6 +235,30 @@
 	return time.Duration(float64(d) * b.rng.Float64())
 }
 
+// lookAgain is the moment after which what waits looks for a server by itself.
+func (b *Balancer) lookAgain() time.Duration { return max(b.set.Tick, b.meanAim/16) }
+
+// lastWorthy is the place of the youngest that waits and is of a protected class, of the youngest if none is.
+func (b *Balancer) lastWorthy() int {
+	for i := len(b.parked) - 1; i >= 0; i-- {
+		if b.classes[b.parked[i].Class].protected {
+			return i
+		}
+	}
+	return len(b.parked) - 1
+}
+
+// lot decides who is refused at a level, in 0..1. What comes from one origin draws the same at all balancers, for a minute
+// of the common clock: a repeat does not win by asking elsewhere, and nobody is the one refused for good.
+func (b *Balancer) lot(r *request, now time.Duration) float64 {
+	if r.Origin == 0 {
+		return b.rng.Float64()
+	}
+	return float64(mix(r.Origin^mix(uint64(now/lotFor)))>>11) / (1 << 53)
+}
+
+const lotFor = time.Minute
+
 // tried tells whether r was sent to s.
 func (r *request) tried(s *server) bool {
 	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.server == s })
@@ -300,6 +324,8 @@
 		return errors.New("balance: settings name no classes")
 	case s.Limits.MaxAttempts < 1:
 		return errors.New("balance: Limits.MaxAttempts must be at least 1")
+	case !positive(s.Limits.RetryShare) || !positive(s.Limits.RetryBurst):
+		return errors.New("balance: Limits.RetryShare and RetryBurst must not be negative")
 	case s.Balancers < 1 || s.Me < 0:
 		return errors.New("balance: Balancers must be at least 1 and Me at least 0")
 	case s.Rules.DrainGrace < 0 || s.Rules.ColdTime < 0 || s.Rules.FallTime < 0 || s.Rules.AskWithin < 0 || s.Tick < 0:
--- a/balance/trend_test.go
+++ b/balance/trend_test.go
@@ -322,6 +322,7 @@
 func TestOverdueAttemptIsWithdrawnOnlyFromAServerOnTrial(t *testing.T) {
 	for _, trial := range []bool{false, true} {
 		b, h := start(t, settings(), fleet(8))
+		b.retries = 1 // as after enough sends
 		b.Request(0, Request{ID: 1, Deadline: 10 * time.Second})
 		b.servers[h.sends[0].server].trial = trial
 		b.Timer(500*ms, timerOverdue|1)
