Chains: time, repeats and worth travel with an operation through all services

Need: each tier decided alone, so repeats multiplied from tier to tier, time spent above was not known below but by X-Time-Left-Ms, a call that came back to its own service went round until its time was over, and a busy reply from below was a reason to try again.

Change: internal/chain, a core: a word in a configured header that services pass on. What an operation may repeat is never made, only kept, given on or given back by token, so all tiers together stay within one number. A service that is in the word already is refused with 508 and logged once a route; a busy reply says that it is final, and is passed up with its advice. pools[].chain, origin, retries in the YAML file; off on the platform, whose fields stay as they are.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -4,10 +4,12 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"net/textproto"
 	"slices"
 	"strconv"
 	"strings"
 
+	"kitewood/internal/protocol"
 	"kitewood/internal/route"
 	"kitewood/internal/share"
 )
@@ -127,6 +129,26 @@
 	if p.Attempts < 1 || p.Attempts > 10 {
 		bad(at+"attempts", "between 1 and 10, not %d", p.Attempts)
 	}
+	if c := p.Chain; c != nil {
+		if !fieldName(c.Header) {
+			bad(at+"chain.header", "a header field's name is wanted, not %q", c.Header)
+		}
+		if c.Service == "" || strings.ContainsAny(c.Service, ",;= \t") {
+			bad(at+"chain.service", "a name without spaces, commas, semicolons and equals signs is wanted, not %q", c.Service)
+		}
+		if c.Hops < 1 || c.Hops > 32 {
+			bad(at+"chain.hops", "between 1 and 32, not %d", c.Hops)
+		}
+		if c.Repeats < 0 || c.Repeats > 100 {
+			bad(at+"chain.repeats", "between 0 and 100, not %d", c.Repeats)
+		}
+	}
+	if p.Origin != "" && !fieldName(p.Origin) {
+		bad(at+"origin", "a header field's name is wanted, not %q", p.Origin)
+	}
+	if r := p.Retries; !(r.Share >= 0 && r.Share <= 1) || !(r.Burst >= 0 && r.Burst <= 1e6) {
+		bad(at+"retries", "a share up to 1 and a burst that is not negative are wanted")
+	}
 	if p.RetryAfter < 0 {
 		bad(at+"retry_after", "is negative")
 	}
@@ -149,6 +171,11 @@
 	}
 }
 
+// fieldName tells whether a text can be the name of a header field that this program does not write itself.
+func fieldName(s string) bool {
+	return s != "" && !strings.ContainsAny(s, " \t:,;=\r\n") && !slices.Contains(protocol.OwnFields(), textproto.CanonicalMIMEHeaderKey(s))
+}
+
 func (f *File) checkRoute(r *Route, at string, bad bad) {
 	i := slices.IndexFunc(f.Pools, func(p Pool) bool { return p.Name == r.Pool })
 	if i < 0 {
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -71,6 +71,11 @@
 			}
 		}
 	}
+	if c := p.Chain; c != nil {
+		yamlfile.Default(&c.Service, p.Name)
+		yamlfile.Default(&c.Hops, 8)
+		yamlfile.Default(&c.Repeats, 4)
+	}
 	yamlfile.Default(&p.Sidecars.Of, 1)
 	yamlfile.Default(&p.Attempts, 3)
 	yamlfile.Default(&p.RetryAfter, yamlfile.Milliseconds(2000))
--- a/internal/config/resolve.go
+++ b/internal/config/resolve.go
@@ -58,7 +58,7 @@
 		Prices: balance.Prices{Waste: 0.02, LateFail: 0.03, Probe: 0.001},
 		Report: balance.Report{Via: vias[p.Reports.Via]},
 		Limits: balance.Limits{Probes: p.Probes, Cancel: true, RetryAfter: p.RetryAfter > 0, MaxAttempts: p.Attempts,
-			MaxRetryAfter: p.RetryAfter.D()},
+			MaxRetryAfter: p.RetryAfter.D(), RetryShare: p.Retries.Share, RetryBurst: p.Retries.Burst},
 		Rules: balance.Rules{DrainGrace: 500 * time.Millisecond, AskWithin: 10 * time.Second, ColdShare: p.Cold.Share, ColdTime: p.Cold.Time.D(),
 			FallMultiple: p.Cold.Multiple, FallTime: p.Cold.Window.D()},
 		Ask:           p.Members.Discovery != "",
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -77,6 +77,34 @@
 	Shares Shares `yaml:"shares,omitempty"`
 	// Inner says that the callers are services, not clients: nothing is refused because answers are foretold late, as what the caller has done would be lost.
 	Inner bool `yaml:"inner,omitempty"`
+	// Chain is the word that services pass on with their calls; left out, none is read or written.
+	Chain *Chain `yaml:"chain,omitempty"`
+	// Origin is the header field that names whom a request comes from, such as a customer's number. In overload all sidecars refuse the same origins, for a minute.
+	Origin string `yaml:"origin,omitempty"`
+	// Retries of what may have run.
+	Retries Retries `yaml:"retries,omitempty"`
+}
+
+// Chain is what a client's operation may cost in all services together.
+type Chain struct {
+	// Header is the field that services pass on as it is with each call that they make for a request.
+	Header string `yaml:"header"`
+	// Service is the name that operations carry from here on, the pool's if left out. One that comes back to it is refused with 508.
+	Service string `yaml:"service,omitempty"`
+	// Hops are the services that an operation may pass, 8 if left out.
+	Hops int `yaml:"hops,omitempty"`
+	// Repeats that one operation may cause in all services together, 4 if left out.
+	Repeats int `yaml:"repeats,omitempty"`
+	// RepeatDeclined has what a service below has declined tried elsewhere, instead of passed up.
+	RepeatDeclined bool `yaml:"repeat_declined,omitempty"`
+}
+
+// Retries are repeats of what may have run; what never ran costs none.
+type Retries struct {
+	// Share of first attempts, 0.125 if left out.
+	Share float64 `yaml:"share,omitempty"`
+	// Burst that all sidecars together can save up, 64 if left out; each has one at the least.
+	Burst float64 `yaml:"burst,omitempty"`
 }
 
 // Members are a list's sources: for a sidecar one, discovery or file; kitewood-control merges several.
--- a/internal/control/program.go
+++ b/internal/control/program.go
@@ -72,6 +72,9 @@
 		}
 	}
 	for i := range f.Pools {
+		if p := &f.Pools[i]; p.Chain != nil || p.Origin != "" || p.Retries != (config.Retries{}) {
+			wrong.Add(fmt.Sprintf("pools[%d]", i), "chain, origin and retries are a sidecar's: proxies are not told of them")
+		}
 		fillReports(&f.Pools[i].Reports)
 		fillMembers(filepath.Dir(path), fmt.Sprintf("pools[%d].members.", i), &f.Pools[i].Members, wrong.Add)
 		if f.Pools[i].Reports.Every < 0 {
--- a/internal/pools/pool.go
+++ b/internal/pools/pool.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"log/slog"
+	"net/textproto"
 	"time"
 
+	"kitewood/internal/chain"
 	"kitewood/internal/config"
 	"kitewood/internal/filewatch"
 	"kitewood/internal/listfile"
@@ -56,11 +58,21 @@
 	if conf.Reports.Via != "none" {
 		options.ProbePath = "/stats"
 	}
+	var worths []float64
+	for _, c := range conf.Classes {
+		worths = append(worths, c.Worth)
+	}
+	p.service = transport.Service{Loop: loop, Gate: gate{s.limits, conf.Name}, Advice: min(fullAdvice, conf.RetryAfter.D()), Worths: worths,
+		Origin: textproto.CanonicalMIMEHeaderKey(conf.Origin)}
+	if c := conf.Chain; c != nil {
+		options.Chain, options.PassDeclined = textproto.CanonicalMIMEHeaderKey(c.Header), !c.RepeatDeclined
+		p.service.Chain = transport.NewChain(options.Chain, chain.Limits{Service: c.Service, Hops: c.Hops, Repeats: c.Repeats},
+			f.SeedOf(conf.Name+"/chain"), s.clock.Now, log)
+	}
 	p.destinations = transport.NewDestinations(options)
 	for _, c := range conf.Classes {
 		p.classes = append(p.classes, protocol.Class{Name: c.Name, Methods: c.Methods, Deadline: c.Deadline.D()})
 	}
-	p.service = transport.Service{Loop: loop, Gate: gate{s.limits, conf.Name}, Advice: min(fullAdvice, conf.RetryAfter.D())}
 	return p, nil
 }
 
--- a/internal/protocol/operation.go
+++ b/internal/protocol/operation.go
@@ -201,6 +201,15 @@
 	return load
 }
 
+// Declined is the value of a chain's field in an answer that is final: nothing ran, and another attempt would gain nothing.
+const Declined = "declined"
+
+// DeclinedBy tells whether an answer says so in the chain's field.
+func (m *Message) DeclinedBy(field string) bool {
+	v := m.Header[field]
+	return field != "" && (m.Status() == 503 || m.Status() == 508) && len(v) == 1 && v[0] == Declined
+}
+
 // NotRun tells whether an answer says that the request was turned away unseen.
 func (m *Message) NotRun() bool {
 	v := m.Header[headerNotRun]
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -94,7 +94,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		out, err := feed(&Machine{}, RequestHead(in[0], 1500*time.Millisecond), in[0].Body)
+		out, err := feed(&Machine{}, RequestHead(in[0], 1500*time.Millisecond, Field{}), in[0].Body)
 		if err != nil || out[0].Start != in[0].Start || !bytes.Equal(out[0].Body, body) ||
 			out[0].Header.Get(headerTimeLeft) != "1500" || out[0].Header.Get(headerFacts) != "a=1,b=2" {
 			t.Fatalf("%v %+v", err, out)
--- a/internal/protocol/write.go
+++ b/internal/protocol/write.go
@@ -11,9 +11,18 @@
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 	"Content-Length", "Expect", "Host", headerTimeLeft, headerLoad}
 
-func appendFields(b []byte, h textproto.MIMEHeader) []byte {
+// OwnFields are the names of the fields that mean something to this program or end here.
+func OwnFields() []string {
+	return append([]string{headerID, headerClass, headerRepeat, headerHint, headerFacts, headerNotRun}, hopByHop...)
+}
+
+// Field is one header field.
+type Field struct{ Name, Value string }
+
+// appendFields writes all fields that pass this sidecar, but one.
+func appendFields(b []byte, h textproto.MIMEHeader, but string) []byte {
 	for name, values := range h {
-		if slices.Contains(hopByHop, name) || hasToken(h["Connection"], name) {
+		if name == but || slices.Contains(hopByHop, name) || hasToken(h["Connection"], name) {
 			continue
 		}
 		for _, v := range values {
@@ -24,14 +33,17 @@
 }
 
 // RequestHead is the head of a client's request for a destination. The body follows as it is, so that no copy of it is
-// made.
-func RequestHead(m *Message, timeLeft time.Duration) []byte {
+// made. A chain's word goes in the field that carries it, in place of the one that the client sent.
+func RequestHead(m *Message, timeLeft time.Duration, chain Field) []byte {
 	host := "backend.local"
 	if h := m.Header["Host"]; len(h) == 1 {
 		host = h[0]
 	}
 	b := []byte(m.Start[0] + " " + m.Start[1] + " HTTP/1.1\r\nHost: " + host + "\r\n")
-	b = appendFields(b, m.Header)
+	b = appendFields(b, m.Header, chain.Name)
+	if chain.Name != "" {
+		b = append(b, chain.Name+": "+chain.Value+"\r\n"...)
+	}
 	b = append(append(b, headerTimeLeft+": "...), strconv.FormatInt(max(timeLeft.Milliseconds(), 0), 10)...)
 	b = append(b, "\r\n"...)
 	if len(m.Body) > 0 || m.Start[0] != "GET" {
@@ -52,7 +64,7 @@
 	if why == "Error" {
 		why = m.Start[2]
 	}
-	b := appendFields([]byte("HTTP/1.1 "+strconv.Itoa(status)+" "+why+"\r\n"), m.Header)
+	b := appendFields([]byte("HTTP/1.1 "+strconv.Itoa(status)+" "+why+"\r\n"), m.Header, "")
 	if status == 204 || status == 304 { // neither has a body, nor its length
 		if last {
 			b = append(b, "Connection: close\r\n"...)
@@ -67,6 +79,7 @@
 	Status     int
 	RetryAfter time.Duration // 0 for none
 	Allow      string        // the method that a 405 wants
+	Chain      string        // the field that says that the answer is final for all who are above; empty for none
 	Why        string        // its body
 }
 
@@ -79,6 +92,9 @@
 	if r.Allow != "" {
 		b = append(b, "Allow: "+r.Allow+"\r\n"...)
 	}
+	if r.Chain != "" {
+		b = append(b, r.Chain+": "+Declined+"\r\n"...)
+	}
 	b = append(b, "Content-Type: text/plain; charset=utf-8\r\n"...)
 	return append(appendEnd(b, len(r.Why)+1, last), r.Why+"\n"...)
 }
@@ -120,6 +136,8 @@
 		return "Service Unavailable"
 	case 504:
 		return "Gateway Timeout"
+	case 508:
+		return "Loop Detected"
 	}
 	return "Error"
 }
--- a/internal/routing/interfaces.go
+++ b/internal/routing/interfaces.go
@@ -22,6 +22,10 @@
 	Key      string        // no two that are open share one; "" for none
 	Left     func() bool   // looks whether the client has left; nil if that cannot be told
 	Sent     func()        // told when the first attempt goes out; nil if nobody asks
+	Origin   uint64        // see balance.Request
+	// Word writes what an attempt that goes out now carries on; ok is false if it may not, as the operation has cost enough.
+	// It is nil where nothing is carried on. Any goroutine may call it.
+	Word func() (text string, ok bool)
 
 	next     []*Operation // wait for the attempts of this one, which has ended and has their key
 	id       balance.RequestID
@@ -36,7 +40,7 @@
 
 // The verdicts.
 const (
-	Served  Verdict = iota // Payload is a destination's answer
+	Served  Verdict = iota // Payload is a destination's answer, also one that declines
 	Busy                   // refused: trying again is harmless
 	Failed                 // it may have run
 	Doubled                // another open operation has its key: it reached no destination
@@ -91,7 +95,7 @@
 // Result is how an attempt or a probe ended: with an answer or with an error.
 type Result struct {
 	Status  balance.Status // of an answer
-	Payload any            // the answer, if it was served
+	Payload any            // the answer, if it was served or declined
 	Load    []float32      // its load report, if there was one
 	Err     *AttemptError  // instead of an answer
 }
--- a/internal/routing/operation.go
+++ b/internal/routing/operation.go
@@ -52,7 +52,7 @@
 	}
 	defer l.answerOnPanic(op)
 	l.balancer.Request(l.Now(), balance.Request{ID: op.id, Class: op.Class, Deadline: op.Deadline, Hint: op.Hint,
-		Repeat: op.Repeat})
+		Repeat: op.Repeat, Origin: op.Origin})
 }
 
 // Abandon says that the client of an operation has left, from any goroutine. Its Done may still be called.
@@ -148,7 +148,7 @@
 		status = r.Err.Status()
 	}
 	l.traceAttempt(a, server, status, r, now)
-	if status == balance.OK {
+	if status == balance.OK || status == balance.Declined {
 		l.answer(op, Answer{Verdict: Served, Payload: r.Payload})
 	}
 	defer l.answerOnPanic(op)
--- a/internal/transport/destinations.go
+++ b/internal/transport/destinations.go
@@ -25,6 +25,8 @@
 	PassErrors     bool          // answers of every status under 500 are the client's; otherwise those of 200 alone
 	Fields         []string      // of load reports, in the settings' words
 	ProbePath      string
+	Chain          string // the field of the chain's word; empty for none
+	PassDeclined   bool   // what a service below has declined is the client's answer; otherwise it is one that never ran
 	Log            *slog.Logger
 }
 
@@ -51,9 +53,17 @@
 	go func() {
 		t := &task{done: done, deadline: u.Clock.At(a.Deadline), opened: a.Opened}
 		defer u.caught(t)
-		u.run(a.Context, a.Destination, t, a.Stale, func() net.Buffers {
+		word := protocol.Field{Name: u.Chain}
+		stale := func() bool {
+			ok := !a.Stale()
+			if ok && a.Op.Word != nil {
+				word.Value, ok = a.Op.Word()
+			}
+			return !ok
+		}
+		u.run(a.Context, a.Destination, t, stale, func() net.Buffers {
 			m := a.Op.Payload.(*protocol.Message)
-			return net.Buffers{protocol.RequestHead(m, a.Left()), m.Body}
+			return net.Buffers{protocol.RequestHead(m, a.Left(), word), m.Body}
 		})
 	}()
 }
@@ -238,7 +248,9 @@
 	switch {
 	case m.Status() == 200 || u.PassErrors && m.Status() < 500:
 		r.Status, r.Payload = balance.OK, m
-	case m.NotRun():
+	case m.DeclinedBy(u.Chain) && u.PassDeclined:
+		r.Status, r.Payload = balance.Declined, m
+	case m.NotRun(), m.DeclinedBy(u.Chain):
 		r.Status = balance.FullUp
 	default:
 		r.Status = balance.Error
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"kitewood/internal/protocol"
 	"kitewood/internal/routing"
 )
@@ -35,6 +37,25 @@
 	Loop   *routing.Loop
 	Gate   Gate          // nil lets everything in
 	Advice time.Duration // when to come back to a pool that is full or stuck, 0 for no advice
+	Chain  *Chain        // nil where operations carry no word of a chain
+	Worths []float64     // of the classes, for the chain
+	Origin string        // the field that names whom an operation comes from; empty for none
+}
+
+// worth is that of a class, for the chain's word.
+func (s *Service) worth(class int) float64 {
+	if class < len(s.Worths) {
+		return s.Worths[class]
+	}
+	return 0
+}
+
+// origin is a hash of whom a request comes from, 0 where that is not known.
+func (s *Service) origin(m *protocol.Message) uint64 {
+	if v := m.Header[s.Origin]; s.Origin != "" && len(v) == 1 && v[0] != "" {
+		return max(xxhash.Sum64String(v[0]), 1)
+	}
+	return 0
 }
 
 // Gate lets operations into a pool as far as its share of the process goes. Any goroutine may call it.
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -169,6 +169,9 @@
 func (c *frontConn) operate(m *protocol.Message, to *Service, figures protocol.Operation, buf []byte, last func() bool) bool {
 	loop := to.Loop
 	busy := protocol.Reply{Status: 503, RetryAfter: to.Advice, Why: "busy"}
+	if to.Chain != nil {
+		busy.Chain = to.Chain.Field
+	}
 	var sent func()
 	if to.Gate != nil {
 		pass, ok := to.Gate.Enter(len(m.Body))
@@ -181,11 +184,20 @@
 	answer := make(chan routing.Answer, 1)
 	c.answer = answer
 	deadline := loop.Now() + figures.TimeLeft
+	var word func() (string, bool)
+	if to.Chain != nil {
+		visit, reply := to.Chain.enter(m, deadline, to.worth(figures.Class))
+		if reply != nil {
+			return c.reply(*reply, last())
+		}
+		defer to.Chain.end(visit)
+		deadline, word = visit.Deadline, func() (string, bool) { return to.Chain.word(visit) }
+	}
 	if c.front.draining.Load() { // the process may be killed after that, and the operation lost
 		deadline = min(deadline, time.Duration(c.front.until.Load()))
 	}
 	op := &routing.Operation{Class: figures.Class, Deadline: deadline, Hint: figures.Hint,
-		Repeat: figures.Repeat, Payload: m, Key: figures.ID, Sent: sent, Left: func() bool { return peek(c.conn) == broken }}
+		Repeat: figures.Repeat, Payload: m, Key: figures.ID, Sent: sent, Origin: to.origin(m), Word: word, Left: func() bool { return peek(c.conn) == broken }}
 	op.Done = func(a routing.Answer) {
 		answer <- a                             // not c.answer: a late answer must not reach the next operation
 		c.conn.SetReadDeadline(time.Unix(1, 0)) // wakes the read in wait
@@ -207,7 +219,8 @@
 		served := a.Payload.(*protocol.Message)
 		return c.send(close, protocol.ServedHead(served, close), served.Body)
 	case routing.Busy:
-		return c.reply(protocol.Reply{Status: 503, RetryAfter: a.RetryAfter, Why: "busy"}, close)
+		busy.RetryAfter = a.RetryAfter
+		return c.reply(busy, close)
 	}
 	if a.Verdict == routing.Doubled {
 		return c.reply(protocol.Reply{Status: 409, Why: "a request with this id is open"}, close)
