The rig of many processes: faults on and between sidecars, and the fleet's account

Need: nothing could play what the operators fear most: many processes of the program while parts fail, between them, too; nor add up what all of them did together without asking the sidecars' logs.

--- a/cmd/kitewood-lab/main.go
+++ b/cmd/kitewood-lab/main.go
@@ -41,7 +41,7 @@
 			&cli.StringFlag{Name: "kitewood-control", Usage: "the control service's program (default: the one beside this program)"},
 		},
 		Commands: []*cli.Command{demoCommand(), runCommand(), emulateCommand(), checkCommand(), listCommand(), loadCommand(), recordCommand(),
-			replayCommand(), drillCommand(), poolsCommand(), compareCommand(), proxiesCommand(), proxyCommand(), countCommand(), reportCommand()},
+			replayCommand(), drillCommand(), fleetCommand(), poolsCommand(), compareCommand(), proxiesCommand(), proxyCommand(), countCommand(), reportCommand()},
 	}
 }
 
--- /dev/null
+++ b/internal/lab/account/account_test.go
@@ -0,0 +1,82 @@
+package account
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"kitewood/internal/lab/ledger"
+)
+
+const ms = time.Millisecond
+
+var goal = ledger.Goal{Classes: []ledger.GoalClass{{Name: "look", Worth: 2, Aim: time.Second}}}
+
+// story is a client whose first try is failed two tiers down, and whose second is served: written by hand, so that the sums
+// can be checked by hand.
+func story() []ledger.Entry {
+	asked := func(at time.Duration, id string, tier int, client int, parent uint64, repeat bool) ledger.Entry {
+		return ledger.Entry{At: at, Kind: ledger.Asked, ID: id, Tier: tier, Client: client, Parent: parent, Repeat: repeat,
+			Sidecar: fmt.Sprintf("s%d", tier), Work: 1}
+	}
+	arrived := func(at time.Duration, id string, tier int, n uint64, work float64) ledger.Entry {
+		return ledger.Entry{At: at, Kind: ledger.Arrived, ID: id, Tier: tier, Copy: n, Work: work, Instance: fmt.Sprintf("i%d", tier)}
+	}
+	ended := func(at time.Duration, id string, tier int, n uint64, how string) ledger.Entry {
+		return ledger.Entry{At: at, Kind: ledger.Ended, ID: id, Tier: tier, Copy: n, Outcome: how, Instance: fmt.Sprintf("i%d", tier)}
+	}
+	answered := func(at time.Duration, id string, tier, client, status int, note string) ledger.Entry {
+		return ledger.Entry{At: at, Kind: ledger.Answered, ID: id, Tier: tier, Client: client, Status: status, Note: note,
+			Sidecar: fmt.Sprintf("s%d", tier)}
+	}
+	return []ledger.Entry{
+		asked(0, "a", 0, 1, 0, false), arrived(1*ms, "a", 0, 1, 3),
+		asked(2*ms, "b", 1, 0, 1, false), arrived(3*ms, "b", 1, 2, 4), ended(4*ms, "b", 1, 2, "turned"),
+		arrived(5*ms, "b", 1, 3, 4), ended(6*ms, "b", 1, 3, "failed"),
+		answered(7*ms, "b", 1, 0, 503, ""), ended(8*ms, "a", 0, 1, "failed"), answered(9*ms, "a", 0, 1, 502, ""),
+		asked(10*ms, "c", 0, 1, 0, true), arrived(11*ms, "c", 0, 4, 3),
+		asked(12*ms, "d", 1, 0, 4, false), arrived(13*ms, "d", 1, 5, 2), ended(14*ms, "d", 1, 5, "served"),
+		answered(15*ms, "d", 1, 0, 200, "i1/5"), ended(16*ms, "c", 0, 4, "served"), answered(17*ms, "c", 0, 1, 200, "i0/4"),
+		{At: 20 * ms, Kind: ledger.Opened, Instance: "i1", Tier: 1}, {At: 21 * ms, Kind: ledger.Opened, Instance: "i1", Tier: 1},
+		{At: 1100 * ms, Kind: ledger.Opened, Instance: "i1", Tier: 1}, {At: 30 * ms, Kind: ledger.Called, Sidecar: "s1", Tier: 1},
+	}
+}
+
+func TestAccount(t *testing.T) {
+	a := Of(story(), goal)
+	for _, c := range []struct {
+		name      string
+		got, want float64
+	}{
+		{"operations", float64(a.Operations), 1}, {"tries", float64(a.Tries), 2}, {"attempts", float64(a.Attempts), 5}, {"most", float64(a.Most), 5},
+		{"per operation", a.PerOp, 5}, {"extra", a.Extra, 1.0 / 5}, // one of four calls was tried twice
+		{"work", a.Work, 3 + 4 + 3 + 2}, {"lost", a.Lost, 7.0 / 12}, // the turned one is no work
+		{"lost in tier 1", a.Tiers[1].Lost, 4.0 / 6}, {"turned", float64(a.Tiers[1].Turned), 1},
+		{"refused in tier 1", float64(a.Tiers[1].Refused), 1}, {"failed in tier 0", float64(a.Tiers[0].Failed), 1},
+		{"connections", float64(a.Instances[1].Connections.Count), 3}, {"most in a second", float64(a.Instances[1].Connections.Most), 2},
+		{"trials", float64(a.Instances[1].Trials.Count), 2}, // after the turned one, and after the failed one
+		{"discovery", float64(a.Discovery.Count), 1}, {"repeats", float64(a.Seconds[0].Repeats), 1},
+		{"worth", a.Seconds[0].Worth, 2}, {"in time", a.Seconds[0].InTime, 2},
+	} {
+		if diff := c.got - c.want; diff > 1e-9 || diff < -1e-9 {
+			t.Errorf("%s: %g, want %g", c.name, c.got, c.want)
+		}
+	}
+	if share, ok := a.Served(0, 0, time.Second); !ok || share != 1 {
+		t.Errorf("served %g %t", share, ok)
+	}
+	if _, ok := a.Served(All, time.Second, 2*time.Second); ok {
+		t.Error("served of nothing")
+	}
+}
+
+// Only sidecars with like traffic are set beside one another.
+func TestSpread(t *testing.T) {
+	all := []Sidecar{{"a", 0, 100, 10}, {"b", 0, 110, 33}, {"c", 0, 90, 9}, {"quiet", 0, 10, 10}, {"busy", 0, 900, 0}, {"other", 1, 100, 90}}
+	if s := spread(all, 0); s < 0.199 || s > 0.201 {
+		t.Errorf("%g, want 0.3 less 0.1", s)
+	}
+	if s := spread(all, 2); s != 0 {
+		t.Errorf("%g of a tier that is not there", s)
+	}
+}
--- /dev/null
+++ b/internal/lab/drill/closedloop.go
@@ -0,0 +1,181 @@
+package drill
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"kitewood/internal/lab/child"
+	"kitewood/internal/lab/dataplane"
+	"kitewood/internal/lab/httpc"
+	"kitewood/internal/listfile"
+)
+
+// loop is what callers in a closed loop saw: each asks again as soon as it has its answer.
+type loop struct {
+	asked, refused, failed int
+	latency                *hdrhistogram.Histogram // in microseconds
+}
+
+func (l *loop) p99() float64 { return float64(l.latency.ValueAtQuantile(99)) / 1000 }
+
+// closedLoops has callers in closed loops ask a kitewood process and a plain proxy, which serves what comes first first,
+// before the same destinations, one after the other: each has one core.
+func closedLoops(ctx context.Context, o Options, out *Outcome) error {
+	dir, err := scratch(o, "closed")
+	if err != nil {
+		return err
+	}
+	var members []map[string]any
+	for n := range 8 {
+		i, err := newInstance(fmt.Sprintf("d-%d", n), false)
+		if err != nil {
+			return err
+		}
+		defer i.stop()
+		members = append(members, map[string]any{"name": i.name, "address": i.address, "status": "Ready", "weight": 1})
+	}
+	last, counts := 6*time.Second, []int{64, 256, 1000}
+	if o.Short {
+		last, counts = 2*time.Second, []int{256}
+	}
+	for _, callers := range counts {
+		var seen [2]*loop
+		for n, start := range []func(string, string, []map[string]any, Options) (*child.Child, error){startKitewood, startPlain} {
+			address, err := child.FreeAddress()
+			if err != nil {
+				return err
+			}
+			c, err := start(dir, address, members, o)
+			if err != nil {
+				return err
+			}
+			seen[n], err = callInLoops(ctx, address, callers, last)
+			c.Kill()
+			if err != nil {
+				return fmt.Errorf("%d callers: %w: %s", callers, err, c.Said())
+			}
+		}
+		kite, plain := seen[0], seen[1]
+		at := fmt.Sprintf("%d callers in a closed loop: ", callers)
+		out.Tell(at+"answers", float64(kite.asked))
+		out.Tell(at+"answers by the plain proxy", float64(plain.asked))
+		out.Hold(at+"refused or failed", float64(kite.refused+kite.failed), "0", kite.refused+kite.failed == 0)
+		out.Tell(at+"longest, ms", float64(kite.latency.Max())/1000)
+		times := kite.p99() / plain.p99()
+		out.Tell(at+"p99, ms", kite.p99())
+		out.Tell(at+"p99 by the plain proxy, ms", plain.p99())
+		if o.Short {
+			out.Tell(at+"p99, times the plain proxy's", times)
+		} else {
+			out.Hold(at+"p99, times the plain proxy's", times, "at most 1.2", times <= 1.2)
+		}
+	}
+	return nil
+}
+
+func startKitewood(dir, address string, members []map[string]any, o Options) (*child.Child, error) {
+	var list []listfile.Destination
+	for _, m := range members {
+		list = append(list, listfile.Destination{Name: m["name"].(string), Address: m["address"].(string)})
+	}
+	if err := listfile.Write(filepath.Join(dir, "list.yaml"), list); err != nil {
+		return nil, err
+	}
+	text := fmt.Sprintf(`name: closed
+listeners: [{address: %q}]
+limits: {sockets: 8192, memory_mb: 512}
+pools:
+  - name: web
+    members: {file: list.yaml}
+    classes: [{name: any, effect: safe, aim: 2.5s, deadline: 2.5s}]
+routes: [{path: /, pool: web}]
+`, address)
+	path := filepath.Join(dir, "closed.yaml")
+	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+		return nil, err
+	}
+	c, err := child.Start(filepath.Join(dir, "kitewood.log"), nil, o.Binary, "serve", "--config", path)
+	if err != nil {
+		return nil, err
+	}
+	return c, untilReady(c, address)
+}
+
+func startPlain(dir, address string, members []map[string]any, o Options) (*child.Child, error) {
+	text, err := json.Marshal(map[string]any{"name": "plain", "listen": address, "discovery": "127.0.0.1:1", "seed": "1",
+		"known": map[string]any{"snapshot": true, "endpoints": members}})
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(dir, "plain.json")
+	if err := os.WriteFile(path, text, 0o644); err != nil {
+		return nil, err
+	}
+	c, err := child.Start(filepath.Join(dir, "plain.log"), []string{"ROUTER_CONFIG=" + path, "GOMAXPROCS=1"}, o.Lab, "proxy", "--policy", dataplane.RoundRobin)
+	if err != nil {
+		return nil, err
+	}
+	return c, untilReady(c, address)
+}
+
+// untilReady waits until a process says that it is ready.
+func untilReady(c *child.Child, address string) error {
+	text := httpc.Text("GET", "/health/ready", "backend.local", nil)
+	for until := time.Now().Add(controlWait); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		pool := httpc.NewPool(httpc.Options{Address: address})
+		r := pool.Do("", "GET", text, time.Now().Add(time.Second))
+		pool.Close()
+		if r.Status == 200 {
+			return nil
+		}
+		select {
+		case <-c.Ended:
+			return fmt.Errorf("it ended: %s", c.Said())
+		default:
+		}
+	}
+	return fmt.Errorf("not ready within %s: %s", controlWait, c.Said())
+}
+
+// callInLoops has callers ask for a time.
+func callInLoops(ctx context.Context, address string, callers int, last time.Duration) (*loop, error) {
+	all := &loop{latency: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
+	var mu sync.Mutex
+	var open sync.WaitGroup
+	until := time.Now().Add(last)
+	for n := range callers {
+		open.Go(func() {
+			mine := loop{latency: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
+			pool := httpc.NewPool(httpc.Options{Address: address, ConnectTimeout: 5 * time.Second})
+			defer pool.Close()
+			for k := 0; time.Now().Before(until) && ctx.Err() == nil; k++ {
+				id := fmt.Sprintf("%d-%d", n, k)
+				text := httpc.Text("GET", "/any", "backend.local", nil, httpc.Field{Name: "X-Correlation-Id", Value: id},
+					httpc.Field{Name: "X-Time-Left-Ms", Value: "2500"})
+				began := time.Now()
+				r := pool.Do(id, "GET", text, began.Add(5*time.Second))
+				mine.asked++
+				switch r.Status {
+				case 200:
+					mine.latency.RecordValue(max(time.Since(began).Microseconds(), 1))
+				case 503:
+					mine.refused++
+				default:
+					mine.failed++
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all.asked, all.refused, all.failed = all.asked+mine.asked, all.refused+mine.refused, all.failed+mine.failed
+			all.latency.Merge(mine.latency)
+		})
+	}
+	open.Wait()
+	return all, ctx.Err()
+}
--- a/internal/lab/drill/drill.go
+++ b/internal/lab/drill/drill.go
@@ -14,6 +14,7 @@
 	Short   bool // the form that CI runs
 	Seed    uint64
 	Repeats int    // of the failure; 0 for the drill's own number
+	Wrong   string // one of the drill's Wrongs, or empty
 	Binary  string // kitewood
 	Lab     string // kitewood-lab
 	Control string // kitewood-control
@@ -72,14 +73,15 @@
 type Drill struct {
 	Name    string
 	About   string
-	Control bool // it starts kitewood-control
+	Control bool     // it starts kitewood-control
+	Wrongs  []string // ways to run it wrongly on purpose, each of which has to break the promise
 	Run     func(context.Context, Options) (*Outcome, error)
 }
 
 // All are the drills, by name.
 func All() []Drill {
 	all := []Drill{rulesDrill, stallDrill, rateDrill, leftoversDrill, calmDrill, poolsDrill, xdsDrainDrill, xdsReconnectDrill, xdsScaleDrill,
-		etcdBurstDrill, etcdCompactDrill, etcdChaosDrill, etcdScaleDrill}
+		fleetOverloadDrill, etcdBurstDrill, etcdCompactDrill, etcdChaosDrill, etcdScaleDrill}
 	slices.SortFunc(all, func(a, b Drill) int {
 		if a.Name < b.Name {
 			return -1
--- /dev/null
+++ b/internal/lab/drill/fleetoverload.go
@@ -0,0 +1,216 @@
+package drill
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"kitewood/internal/lab/account"
+	rig "kitewood/internal/lab/fleet"
+	"kitewood/internal/lab/ledger"
+	"kitewood/internal/lab/results"
+)
+
+// fleetOverloadDrill brings overload and failing parts to a fleet of sidecars.
+var fleetOverloadDrill = Drill{
+	Name:   "fleet-overload",
+	About:  "a fleet of sidecars in overload, with parts that fail: the worthiest is served, nothing multiplies, service is back in 5 s",
+	Wrongs: rig.WrongNames(),
+	Run:    runFleetOverload,
+}
+
+const (
+	most        = 1.15 // attempts for an operation, as a multiple of a calm run's
+	mostLost    = 0.08 // share of the work done whose answer nobody got
+	leastBack   = 0.95 // of calm service, backWithin after the trouble's end
+	backWithin  = 5 * time.Second
+	leastDouble = 0.85 // worth served at twice the capacity, beside that at the capacity
+	leastWorthy = 0.95 // of the worthiest class, while anything of the least is served
+	mostSpread  = 0.1  // between the refusals of two sidecars with like traffic
+)
+
+// fleetPlay is one run of a case.
+type fleetPlay struct {
+	rig.Case
+	sidecars int
+	seed     uint64
+	dir      string
+	*rig.Result
+}
+
+func (p *fleetPlay) String() string {
+	return fmt.Sprintf("%s, %d sidecars, seed %d", p.Name, p.sidecars, p.seed)
+}
+
+// playFleet plays a case; the short form takes half of its time.
+func playFleet(ctx context.Context, o Options, name string, sidecars int, seed uint64) (*fleetPlay, error) {
+	c, s, err := rig.Find(name)
+	if err != nil {
+		return nil, err
+	}
+	if err := rig.Wrong(s, o.Wrong); err != nil {
+		return nil, err
+	}
+	if o.Short {
+		c.From, c.To, c.Last = c.From/2, c.To/2, c.Last/2
+		squeeze(s, c.Last)
+	}
+	dir, err := scratch(o, fmt.Sprintf("fleet-%s-%d-seed%d", name, sidecars, seed))
+	if err != nil {
+		return nil, err
+	}
+	r, err := rig.Play(ctx, rig.Options{Scenario: s, Sidecars: sidecars, Seed: seed, Binary: o.Binary, Dir: dir, Log: o.Log})
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	if r.Summary.CutShort {
+		return nil, context.Cause(ctx)
+	}
+	return &fleetPlay{c, sidecars, seed, dir, r}, nil
+}
+
+func runFleetOverload(ctx context.Context, o Options) (*Outcome, error) {
+	out := &Outcome{}
+	names, sizes, seeds := rig.Names(), []int{12, 24, 48}, o.times(3, 1)
+	if o.Short {
+		names, sizes = []string{"calm", "double", "circle"}, []int{6}
+	}
+	held := &held{out: out, short: o.Short}
+	for n := range seeds {
+		seed := o.Seed + uint64(n)
+		for _, sidecars := range sizes {
+			var calm *fleetPlay
+			for _, name := range names {
+				p, err := playFleet(ctx, o, name, sidecars, seed)
+				if err != nil {
+					return nil, err
+				}
+				if calm == nil {
+					calm = p
+				}
+				held.play(p, calm)
+			}
+		}
+	}
+	if !o.Short {
+		small, err := playFleet(ctx, o, "slow", 6, o.Seed)
+		if err != nil {
+			return nil, err
+		}
+		held.beside(small)
+	}
+	if o.Wrong == "" {
+		if err := closedLoops(ctx, o, out); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+// held gathers what the runs showed.
+type held struct {
+	out      *Outcome
+	short    bool
+	beside48 *fleetPlay
+}
+
+// play holds one run to what the drill promises, beside the calm run of the same rig.
+func (h *held) play(p, calm *fleetPlay) {
+	out, a, at := h.out, p.Account, p.String()+": "
+	broken := p.Summary.Broken()
+	out.Hold(at+"broken rules", float64(broken), "0", broken == 0)
+	for _, b := range p.Breaches[:min(len(p.Breaches), 3)] {
+		out.Notes = append(out.Notes, at+b.String())
+	}
+	if p == calm {
+		out.Tell(at+"attempts for an operation", a.PerOp)
+		out.Tell(at+"service", calmService(calm))
+		return
+	}
+	if p.sidecars == 48 && p.Name == "slow" {
+		h.beside48 = p
+	}
+	bound := most
+	if h.short { // few operations: chance is larger
+		bound = 1.4
+	}
+	times := a.PerOp / calm.Account.PerOp
+	out.Hold(at+"attempts for an operation, times calm", times, fmt.Sprintf("at most %g", bound), times <= bound)
+	out.Hold(at+"work for answers that nobody got", a.Lost, fmt.Sprintf("at most %g", mostLost), a.Lost <= mostLost || h.short)
+	if p.Last > p.To+backWithin+2*time.Second {
+		back, _ := a.Served(account.All, p.To+backWithin, p.Last)
+		of := back / calmService(calm)
+		least := leastBack
+		if h.short {
+			least = 0.8
+		}
+		out.Hold(at+"service 5 s after the end, of calm", of, fmt.Sprintf("at least %g", least), of >= least)
+	}
+	switch p.Name {
+	case "double":
+		h.double(p, at)
+	case "circle":
+		loops := refusedInCircles(p)
+		out.Hold(at+"operations refused as going in a circle", float64(loops), "above 0", loops > 0)
+	}
+}
+
+// double holds what is served at twice the capacity.
+func (h *held) double(p *fleetPlay, at string) {
+	out, a := h.out, p.Account
+	full := rig.FullFrom
+	if h.short {
+		full /= 2
+	}
+	of := a.Worth(p.From+2*time.Second, p.To) / a.Worth(full+time.Second, p.From)
+	worthy, _ := a.Served(1, p.From+2*time.Second, p.To)
+	least, _ := a.Served(0, p.From+2*time.Second, p.To)
+	spread := a.Tiers[0].Spread
+	if h.short {
+		out.Hold(at+"worth served at twice the capacity, of that at the capacity", of, "at least 0.6", of >= 0.6)
+		out.Tell(at+"served of the worthiest class", worthy)
+	} else {
+		out.Hold(at+"worth served at twice the capacity, of that at the capacity", of, fmt.Sprintf("at least %g", leastDouble), of >= leastDouble)
+		out.Hold(at+"served of the worthiest class", worthy, fmt.Sprintf("at least %g", leastWorthy), worthy >= leastWorthy)
+		out.Hold(at+"refusals of sidecars differ by", spread, fmt.Sprintf("at most %g", mostSpread), spread <= mostSpread)
+	}
+	out.Tell(at+"served of the least worthy class", least)
+}
+
+// beside holds probes and trials at an instance of a large fleet to those of a small one.
+func (h *held) beside(small *fleetPlay) {
+	if h.beside48 == nil {
+		return
+	}
+	count := func(p *fleetPlay) float64 {
+		sum, n := 0, 0
+		for _, i := range p.Account.Instances {
+			sum += i.Probes.Count + i.Trials.Count
+			n++
+		}
+		return float64(sum) / float64(max(n, 1))
+	}
+	few, many := count(small), count(h.beside48)
+	h.out.Tell("slow: probes and trials at an instance, 6 sidecars", few)
+	h.out.Hold("slow: probes and trials at an instance, 48 sidecars", many, "at most 1.5 times those at 6", many <= 1.5*max(few, 1))
+}
+
+// calmService is the share served in a calm run, from its third second on.
+func calmService(calm *fleetPlay) float64 {
+	share, _ := calm.Account.Served(account.All, 2*time.Second, calm.Last)
+	return share
+}
+
+// refusedInCircles counts the answers of 508.
+func refusedInCircles(p *fleetPlay) (n int) {
+	entries, err := results.Lines[ledger.Entry](p.dir, results.LedgerFile)
+	if err != nil {
+		return 0
+	}
+	for _, e := range entries {
+		if e.Kind == ledger.Answered && e.Status == 508 {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/lab/emulator/block.go
+++ b/internal/lab/emulator/block.go
@@ -41,5 +41,13 @@
 func (b *block) discovery(place, tier, index int) string {
 	return fmt.Sprintf("%s:%d", b.ip(2+place%8, tier+1), discoveryPort+index)
 }
+
+// relayed and relayedDiscovery are where a sidecar reaches an instance, or discovery, over a path that can be broken.
+func (b *block) relayed(tier, number, index int) string {
+	return fmt.Sprintf("%s:%d", b.ip(110+tier, number), instancePort+index)
+}
+func (b *block) relayedDiscovery(place, tier, index int) string {
+	return fmt.Sprintf("%s:%d", b.ip(102+place%8, tier+1), discoveryPort+index)
+}
 func (b *block) ip(group, n int) string { return fmt.Sprintf("127.%d.%d.%d", b.octet, group, n) }
 func (b *block) free()                  { b.lock.Close() }
--- a/internal/lab/emulator/clients.go
+++ b/internal/lab/emulator/clients.go
@@ -43,7 +43,7 @@
 		if !w.sleep(ctx, try.At) {
 			return
 		}
-		end, after := w.caller.try(w.pick(), call{class: c.Class, work: c.Work, deadline: try.Deadline, client: n, intended: c.Asked,
+		end, why := w.caller.try(w.pick(), call{class: c.Class, work: c.Work, deadline: try.Deadline, client: n, intended: c.Asked,
 			repeat: try.Repeat})
 		now := w.book.Now()
 		switch {
@@ -52,7 +52,7 @@
 		case end != model.TryServed:
 			w.errors.Add(1)
 		}
-		try, more = c.Next(now, end, after)
+		try, more = c.Next(now, end, why.advice())
 	}
 }
 
--- a/internal/lab/emulator/registry.go
+++ b/internal/lab/emulator/registry.go
@@ -139,6 +139,11 @@
 		return err
 	}
 	r.doors[s.name] = ln
+	if r.w.paths != nil {
+		if err := r.w.paths.discovery(s, r.place); err != nil {
+			return err
+		}
+	}
 	server := r.server
 	r.w.tasks.Go(func() { server.Serve(ln) })
 	return nil
@@ -147,7 +152,11 @@
 // address is where a sidecar finds discovery now.
 func (r *registry) address(s *sidecar) string {
 	out := ""
-	r.do(func() { out = r.w.block.discovery(r.place, s.tier, s.index) })
+	r.do(func() {
+		if out = r.w.block.discovery(r.place, s.tier, s.index); r.w.paths != nil {
+			out = r.w.block.relayedDiscovery(r.place, s.tier, s.index)
+		}
+	})
 	return out
 }
 
@@ -209,6 +218,7 @@
 		http.Error(w, "nobody's address", http.StatusServiceUnavailable)
 		return
 	}
+	r.w.book.Add(ledger.Entry{Kind: ledger.Called, Sidecar: s.name, Tier: s.tier, Outcome: map[bool]string{true: "served", false: "busy"}[served]})
 	if wait := at - r.w.book.Now(); wait > 0 {
 		select {
 		case <-time.After(wait):
@@ -341,6 +351,9 @@
 	for _, m := range u.Members {
 		e := endpoint{Name: m.Name, Zone: r.w.s.Zone, Type: m.Kind, Group: m.Group, Status: string(m.Status), Weight: 1,
 			Address: fmt.Sprintf("%s:%d", r.w.block.instance(s.tier, m.Group), instancePort+s.index)}
+		if r.w.paths != nil {
+			e.Address = r.w.block.relayed(s.tier, m.Group, s.index)
+		}
 		if m.Since > 0 {
 			e.SinceMS = r.w.book.Start().Add(m.Since).UnixMilli()
 		}
@@ -352,6 +365,12 @@
 // cached is the list as a sidecar last had it; the present one for a sidecar that is new.
 func (r *registry) cached(s *sidecar) poolList {
 	var out poolList
+	s.mu.Lock()
+	forgets := s.forgets
+	s.mu.Unlock()
+	if forgets {
+		return poolList{Endpoints: []endpoint{}}
+	}
 	r.do(func() {
 		u := r.lists[s.tier].Since(-1)
 		u.Full = true
--- a/internal/lab/emulator/sidecar.go
+++ b/internal/lab/emulator/sidecar.go
@@ -14,10 +14,13 @@
 	"syscall"
 	"time"
 
+	"github.com/goccy/go-yaml"
+
 	"kitewood/internal/filewatch"
 	"kitewood/internal/lab/child"
 	"kitewood/internal/lab/httpc"
 	"kitewood/internal/lab/ledger"
+	"kitewood/internal/lab/scenario"
 )
 
 // sidecar is a kitewood process and its place. Its name, address and index stay over restarts.
@@ -30,6 +33,7 @@
 	me, of int
 
 	mu      sync.Mutex
+	forgets bool // its next process knows no list
 	process *process
 	pool    *httpc.Pool
 }
@@ -60,15 +64,32 @@
 // errInterrupted says that a run was ended before it had begun, or while a sidecar was starting.
 var errInterrupted = errors.New("interrupted while sidecars were starting")
 
-// configure writes the configuration file as the platform would.
+// configure writes the configuration file as the platform would, and beside it that of other installations where the
+// scenario has those.
 func (s *sidecar) configure() error {
 	limits := s.w.s.Sidecar
+	me, of := s.me, s.of
+	if limits.Alone {
+		me, of = 0, 1
+	}
+	if limits.Form == scenario.FormPools {
+		type object = map[string]any
+		pool := s.w.s.Pool(s.tier, me, of)
+		pool["members"] = object{"discovery": s.w.registry.address(s)}
+		text, err := yaml.Marshal(object{"name": s.name, "seed": fmt.Sprintf("%016x", hash(s.name)^s.w.seed), "pools": []object{pool},
+			"limits":    object{"cores": limits.Cores, "memory_mb": limits.MemoryMB, "sockets": limits.Sockets},
+			"listeners": []object{{"address": s.listen}}, "routes": []object{{"path": "/", "pool": pool["name"]}}})
+		if err != nil {
+			return err
+		}
+		return filewatch.Replace(s.file("yaml"), text)
+	}
 	text, err := json.MarshalIndent(map[string]any{
 		"name": s.name, "listen": s.listen, "discovery": s.w.registry.address(s),
 		"seed":     fmt.Sprintf("%016x", hash(s.name)^s.w.seed),
 		"limits":   map[string]any{"cores": limits.Cores, "memory_mb": limits.MemoryMB, "sockets": limits.Sockets},
 		"known":    s.w.registry.cached(s),
-		"settings": s.w.s.Settings(s.tier, s.me, s.of),
+		"settings": s.w.s.Settings(s.tier, me, of),
 	}, "", " ")
 	if err != nil {
 		return err
@@ -179,6 +200,30 @@
 // freeze stops the process where it is, as a machine that is cut off looks from outside.
 func (s *sidecar) freeze() { s.signal(syscall.SIGSTOP, false) }
 
+// runs tells whether a process is there that the lab has not ended.
+func (s *sidecar) runs() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.process != nil && !s.process.expected
+}
+
+// forget says whether the next process starts with nothing remembered.
+func (s *sidecar) forget(all bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgets = all
+}
+
+// stand has the process stand still, and go on again.
+func (s *sidecar) stand(still bool) {
+	kind, sig := ledger.Resumed, syscall.SIGCONT
+	if still {
+		kind, sig = ledger.Stopped, syscall.SIGSTOP
+	}
+	s.w.book.Add(ledger.Entry{Kind: kind, Sidecar: s.name, Tier: s.tier})
+	s.signal(sig, false)
+}
+
 // kill ends it outright.
 func (s *sidecar) kill() {
 	s.w.book.Add(ledger.Entry{Kind: ledger.Down, Sidecar: s.name, Tier: s.tier})
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -30,6 +30,7 @@
 	Closed   Kind = "closed"   // its connection ended
 	Opened   Kind = "opened"   // a new connection to an instance
 	Probed   Kind = "probed"   // a probe at an instance
+	Called   Kind = "called"   // a sidecar asked discovery
 	Told     Kind = "told"     // discovery has written a change to a sidecar
 	Life     Kind = "life"     // an instance started; its capacity stands here
 	Fell     Kind = "fell"     // an instance was pushed over
@@ -37,6 +38,10 @@
 	Up       Kind = "up"       // a sidecar was started
 	Down     Kind = "down"     // a sidecar was ended by the timeline
 	Crashed  Kind = "crashed"  // a sidecar ended by itself
+	Stopped  Kind = "stopped"  // the timeline had a sidecar stand still
+	Resumed  Kind = "resumed"  // and go on
+	Deaf     Kind = "deaf"     // a sidecar's path to discovery was broken
+	Hears    Kind = "hears"    // and let go
 	Trouble  Kind = "trouble"  // the timeline did something; Note tells
 )
 
@@ -57,6 +62,7 @@
 	Deadline time.Duration `json:"deadline,omitempty"`
 	Since    time.Duration `json:"since,omitempty"` // of Life and Told: the start that is meant
 	Capacity float64       `json:"capacity,omitempty"`
+	Parent   uint64        `json:"parent,omitempty"` // of Asked and Unasked by an instance: the attempt that it makes the call for
 	Repeat   bool          `json:"repeat,omitempty"`
 	Note     string        `json:"note,omitempty"`
 }
--- a/internal/lab/ledger/ledger_test.go
+++ b/internal/lab/ledger/ledger_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"math"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -177,3 +178,36 @@
 		t.Error("half a line is read")
 	}
 }
+
+// What a process that stood still could not do, and what did not reach it over a broken path, is not held against it; what
+// it does afterwards is.
+func TestAwayIsExcused(t *testing.T) {
+
+	told := []Entry{{At: 1, Kind: Up, Sidecar: "s"}, {At: 100 * ms, Kind: Told, Sidecar: "s", Instance: "i", Outcome: "Terminating", Since: 1}}
+	begun := func(at time.Duration) Entry { return Entry{At: at, Kind: Begun, ID: "x", Sidecar: "s", Instance: "i"} }
+	asked := Entry{At: 100 * ms, Kind: Asked, ID: "x", Sidecar: "s", Deadline: 300 * ms}
+	gave := Entry{At: 350 * ms, Kind: GaveUp, ID: "x", Sidecar: "s"}
+	away := func(from, to Kind) []Entry {
+		return []Entry{{At: 50 * ms, Kind: from, Sidecar: "s"}, {At: 5000 * ms, Kind: to, Sidecar: "s"}}
+	}
+	for name, c := range map[string]struct {
+		entries []Entry
+		rule    string
+	}{
+		"no answer":                   {[]Entry{asked, gave}, RuleAnswer},
+		"no answer while it stood":    {append(away(Stopped, Resumed), asked, gave), ""},
+		"no answer over a deaf path":  {append(away(Deaf, Hears), asked, gave), RuleAnswer},
+		"drain":                       {append(told, begun(800*ms)), RuleDrain},
+		"drain over a deaf path":      {append(append(away(Deaf, Hears), told...), begun(800*ms)), ""},
+		"drain told when it stood":    {append(append(away(Stopped, Resumed), told...), begun(5300*ms)), ""},
+		"drain long after it went on": {append(append(away(Stopped, Resumed), told...), begun(5700*ms)), RuleDrain},
+	} {
+		t.Run(name, func(t *testing.T) {
+			slices.SortStableFunc(c.entries, func(a, b Entry) int { return int(a.At - b.At) })
+			out := Judge(c.entries, Rules{Slack: 50 * ms, DrainGrace: 500 * ms, Safe: []bool{true}})
+			if got := len(out) > 0; got != (c.rule != "") || got && out[0].Rule != c.rule {
+				t.Errorf("%v, want %q", out, c.rule)
+			}
+		})
+	}
+}
--- a/internal/lab/emulator/blockade.go
+++ b/internal/lab/relay/blockade.go
@@ -1,4 +1,4 @@
-package emulator
+package relay
 
 import (
 	"context"
@@ -8,16 +8,17 @@
 	"time"
 )
 
-// blockade makes a listener look like a machine that is cut off: the queue of connections that nobody accepts is made
+// Blockade makes a listener look like a machine that is cut off: the queue of connections that nobody accepts is made
 // as short as it goes and filled, so the system drops further attempts to connect without a word.
-type blockade struct {
+type Blockade struct {
 	mu     sync.Mutex
 	full   []net.Conn
 	lifted bool
 }
 
-func newBlockade(ln *net.TCPListener, tasks *tasks) *blockade {
-	b := &blockade{}
+// NewBlockade blocks a listener, which takes no connection any more. What it starts is counted in tasks.
+func NewBlockade(ln *net.TCPListener, tasks *sync.WaitGroup) *Blockade {
+	b := &Blockade{}
 	ln.SetDeadline(time.Unix(1, 0)) // ends its Accept; connections queue from here on
 	if raw, err := ln.SyscallConn(); err == nil {
 		raw.Control(func(fd uintptr) { syscall.Listen(int(fd), 0) })
@@ -40,8 +41,8 @@
 	return b
 }
 
-// lift lets the fillers go; the listener is closed by its owner, which resets whatever queued.
-func (b *blockade) lift() {
+// Lift lets the fillers go; the listener is closed by its owner, which resets whatever queued.
+func (b *Blockade) Lift() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.lifted = true
--- a/internal/lab/report/page.go
+++ b/internal/lab/report/page.go
@@ -17,6 +17,7 @@
 
 	_ "embed"
 
+	"kitewood/internal/lab/account"
 	"kitewood/internal/lab/emulator"
 	"kitewood/internal/lab/ledger"
 	"kitewood/internal/lab/load"
@@ -171,6 +172,10 @@
 		names, values := attempts(entries)
 		err = errors.Join(err, add(barChart("Attempts per operation", "at the instances, for all operations of all sidecars",
 			"attempts that reached an instance", "operations", names, values)))
+		a := account.Of(entries, plan.Served())
+		err = errors.Join(err, add(timeChart("What one second's operations cost", "attempts that reached instances, busy replies of sidecars, and clients' repeats",
+			"a second", fleetLines(a, plan), bands, end)),
+			add(timeChart("Beside the work", "from all sidecars together", "a second", besideLines(a), bands, end)))
 	}
 	return err
 }
@@ -206,6 +211,45 @@
 	return series(kinds, counts)
 }
 
+// fleetLines count attempts and refusals by tier.
+func fleetLines(a *account.Account, plan *scenario.Scenario) []line {
+	var names []string
+	var counts [][]float64
+	add := func(name string, of func(account.Second) float64) {
+		var c []float64
+		for _, s := range a.Seconds {
+			c = append(c, of(s))
+		}
+		names, counts = append(names, name), append(counts, c)
+	}
+	of := func(list []int, tier int) float64 {
+		if tier < len(list) {
+			return float64(list[tier])
+		}
+		return 0
+	}
+	for t := range plan.Tiers {
+		add("attempts at "+plan.Tiers[t].Name, func(s account.Second) float64 { return of(s.Attempts, t) })
+	}
+	for t := range plan.Tiers {
+		add("refused before "+plan.Tiers[t].Name, func(s account.Second) float64 { return of(s.Refused, t) })
+	}
+	add("clients' repeats", func(s account.Second) float64 { return float64(s.Repeats) })
+	return series(names, counts)
+}
+
+// besideLines count what is no operation's work.
+func besideLines(a *account.Account) []line {
+	names := []string{"new connections", "probes", "calls to discovery"}
+	counts := make([][]float64, len(names))
+	for _, s := range a.Seconds {
+		for n, v := range []int{s.Opened, s.Probes, s.Discovery} {
+			counts[n] = append(counts[n], float64(v))
+		}
+	}
+	return series(names, counts)
+}
+
 func loadLines(seconds []load.Second) []line {
 	kinds := []string{"intended", "answered well", "failed", "timed out"}
 	counts := make([][]float64, len(kinds))
--- a/internal/lab/scenario/defaults.go
+++ b/internal/lab/scenario/defaults.go
@@ -17,6 +17,7 @@
 	yamlfile.Default(&s.Load.Arrivals, "poisson")
 	yamlfile.Default(&s.Clients.TryShare, 0.5)
 	yamlfile.Default(&s.Front.Notice, yamlfile.Milliseconds(2000))
+	yamlfile.Default(&s.Front.Skew, 1)
 	for i := range s.Tiers {
 		s.Tiers[i].fill(i)
 	}
@@ -32,6 +33,8 @@
 	yamlfile.Default(&s.Sidecar.Cores, 1)
 	yamlfile.Default(&s.Sidecar.MemoryMB, 64)
 	yamlfile.Default(&s.Sidecar.Sockets, 512)
+	yamlfile.Default(&s.Sidecar.Form, FormPlatform)
+	yamlfile.Default(&s.Sidecar.Attempts, 4)
 	g := &s.Goal
 	if g.Whole+g.WorstWindow+g.WorstClass == 0 {
 		g.Whole, g.WorstWindow, g.WorstClass = 0.75, 0.05, 0.20
@@ -95,6 +98,8 @@
 		yamlfile.Default(&t.Span, yamlfile.Milliseconds(300))
 	case "slow":
 		yamlfile.Default(&t.Size, 5)
+	case "path":
+		yamlfile.Default(&t.Targets, 1)
 	case "late-reports":
 		yamlfile.Default(&t.Span, yamlfile.Milliseconds(2000))
 	}
--- a/internal/lab/scenario/read.go
+++ b/internal/lab/scenario/read.go
@@ -1,6 +1,9 @@
 package scenario
 
 import (
+	"errors"
+	"fmt"
+
 	"kitewood/internal/yamlfile"
 )
 
@@ -22,3 +25,13 @@
 	}
 	return &s, nil
 }
+
+// Check fills in and checks a scenario that was changed in memory. Its errors name keys without a place.
+func (s *Scenario) Check() error {
+	s.fill()
+	var all []error
+	s.wrong(func(key, format string, args ...any) {
+		all = append(all, fmt.Errorf("%s: %s", key, fmt.Sprintf(format, args...)))
+	})
+	return errors.Join(all...)
+}
--- a/internal/lab/scenario/types.go
+++ b/internal/lab/scenario/types.go
@@ -59,6 +59,7 @@
 // Front is the layer that spreads clients over sidecars.
 type Front struct {
 	Notice Duration `yaml:"notice"`
+	Skew   float64  `yaml:"skew"`
 }
 
 // Tier is a tier of the service.
@@ -142,8 +143,23 @@
 	Cores    float64 `yaml:"cores"`
 	MemoryMB int     `yaml:"memory_mb"`
 	Sockets  int     `yaml:"sockets"`
+
+	Form           string  `yaml:"form"`
+	Chain          bool    `yaml:"chain"`
+	Origin         bool    `yaml:"origin"`
+	RepeatDeclined bool    `yaml:"repeat_declined"`
+	RetryShare     float64 `yaml:"retry_share"`
+	RetryBurst     float64 `yaml:"retry_burst"`
+	Attempts       int     `yaml:"attempts"`
+	Alone          bool    `yaml:"alone"`
 }
 
+// The forms of a sidecar's configuration: the platform's, or the YAML file of other installations.
+const (
+	FormPlatform = "platform"
+	FormPools    = "pools"
+)
+
 // Goal is how service is counted.
 type Goal struct {
 	Whole       float64  `yaml:"whole"`
@@ -170,4 +186,10 @@
 	Span  Duration `yaml:"span"`
 	Batch float64  `yaml:"batch"`
 	Drain Duration `yaml:"drain"`
+
+	Path    string  `yaml:"path"`
+	Way     string  `yaml:"way"`
+	Reset   bool    `yaml:"reset"`
+	Targets float64 `yaml:"targets"`
+	Forget  bool    `yaml:"forget"`
 }
