Bursts, fast services and cold fleets: what pressure, overdue times and cold gaps get wrong

Seen with the fleet rig and the closed-loop drill, with cause: - 256 and 1,000 callers: some refused in the first 0.3 s. pressure divided what is open by a rate over a mean aim, which after a rest is next to nothing. doing() believes what is done within a burst, and nothing is foretold in its first moment. - Servers that answer in 3 ms were ejected: an attempt is overdue after four means, which a busy core passes by itself; then a safe repeat that found no room was refused, though it may wait. The level of refusals is shown in kitewood pools, and one line tells of each change by a quarter.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -36,7 +36,7 @@
 		return
 	}
 	b.requests[q.ID] = r
-	b.open++
+	b.opens(now)
 	b.try(r, now)
 	b.probeOnBudget(now)
 }
@@ -61,8 +61,8 @@
 func (b *Balancer) try(r *request, now time.Duration) {
 	left := b.left(r, now)
 	mean := b.classes[r.Class].mean(&b.set.Classes[r.Class])
-	// A repeat that cannot be done in what is left is work for nobody.
-	late := len(r.attempts) > 0 && left < time.Duration(leastLeft*float64(mean))
+	// A repeat that cannot be done in what is left is work for nobody; nor can what a service asks for so late.
+	late := (len(r.attempts) > 0 || b.set.Tier > 0) && left < time.Duration(leastLeft*float64(mean))
 	if left <= b.set.Tick || late || len(r.attempts) >= b.set.Limits.MaxAttempts {
 		b.giveUp(r, now)
 		return
@@ -70,14 +70,15 @@
 	s := b.pick(r, now)
 	if s == nil {
 		// A keyed request that may have run waits for nothing: its group is what it is.
-		if r.mayRun != nil || r.out > 0 {
+		if r.out > 0 || r.mayRun != nil && b.set.Classes[r.Class].Effect != Safe {
 			b.giveUp(r, now)
 		} else {
 			b.park(r, now, left)
 		}
 		return
 	}
-	a := &attempt{server: s, sent: now, due: now + patience*mean, slow: now + time.Duration(doubt*float64(mean))}
+	a := &attempt{server: s, sent: now, due: now + max(patience*mean, b.lookAgain())}
+	a.slow = now + time.Duration(doubt*float64(mean))
 	r.attempts = append(r.attempts, a)
 	r.out, b.out = r.out+1, b.out+1
 	s.out = append(s.out, a)
@@ -122,7 +123,7 @@
 func (b *Balancer) next(now time.Duration) {
 	for n := len(b.parked); n > 0; n = len(b.parked) {
 		at := 0
-		if float64(n) >= b.doneRate.get(now, b.meanAim)*b.lookAgain().Seconds() {
+		if float64(n) >= 2*b.doing(now)*b.lookAgain().Seconds() {
 			at = b.lastWorthy()
 		}
 		r := b.parked[at]
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -158,6 +159,7 @@
 		at := time.Second + time.Duration(i)*ms/10
 		b.Request(at, Request{ID: 1000 + i, Deadline: at + 3*time.Second})
 	}
+	b.burstAt = -time.Hour
 	sent := len(h.sends)
 	h.outcome(b, 1005*ms, 1000, OK)
 	if len(h.sends) != sent+1 || h.sends[sent].id != 1039 {
@@ -186,6 +188,24 @@
 	}
 }
 
+// A burst after a rest is served at the rate that it is served at, and not refused as if the rest went on.
+func TestBurstAfterARestIsNotPressure(t *testing.T) {
+	b, h := learned(t, settings(), 8, 10*ms)
+	now := 30 * time.Second
+	for i := range RequestID(2000) { // fifty at a time, each answered after 10 ms
+		at := now + time.Duration(i/50)*10*ms
+		b.Request(at, Request{ID: 1000 + i, Deadline: at + 3*time.Second})
+		if i >= 50 {
+			h.outcome(b, at, 1000+i-50, OK)
+		}
+	}
+	for id, how := range h.final {
+		if strings.HasPrefix(how, "refuse") {
+			t.Fatalf("request %d: %s", id, how)
+		}
+	}
+}
+
 // Where they cannot all be in time, what is worth more for its work goes first, the youngest of it.
 func TestAnswersRoomGoesToTheWorthiest(t *testing.T) {
 	b, h := learned(t, settings(), 2, 10*ms)
@@ -194,7 +214,7 @@
 		b.Request(at, Request{ID: 1000 + i, Deadline: at + 3*time.Second})
 	}
 	b.classes[1].protected = true
-	b.parked[5].Class, b.parked[9].Class = 1, 1
+	b.parked[5].Class, b.parked[9].Class, b.burstAt = 1, 1, -time.Hour
 	sent, want := len(h.sends), []RequestID{b.parked[9].ID, b.parked[5].ID, b.parked[len(b.parked)-1].ID}
 	for n, id := range want {
 		h.outcome(b, 1005*ms+time.Duration(n)*ms, 1000+RequestID(n), OK)
@@ -204,6 +224,21 @@
 	}
 }
 
+// What a service asks for with too little time left for half of a mean answer is refused before work on it starts; a client's
+// first try is not, as its answer may come as quickly as the quickest.
+func TestAServicesLateCallIsRefused(t *testing.T) {
+	for tier, sent := range []int{1, 0} {
+		set := settings()
+		set.Tier = tier
+		b, h := learned(t, set, 5, 100*ms)
+		before := len(h.sends)
+		b.Request(20*time.Second, Request{ID: 1000, Deadline: 20*time.Second + 40*ms})
+		if got := len(h.sends) - before; got != sent || sent == 0 && !strings.HasPrefix(h.final[1000], "refuse") {
+			t.Errorf("tier %d: %d sends, answer %q", tier, got, h.final[1000])
+		}
+	}
+}
+
 // What all balancers of a fleet can save up in repeats is bounded, however many there are, and a new one has none.
 func TestRetriesOfAFleetAddUp(t *testing.T) {
 	for _, of := range []int{1, 8, 50, 300} {
--- a/balance/guard.go
+++ b/balance/guard.go
@@ -27,6 +27,8 @@
 	parkShare    = 45      // of a request's time, in 100, that it may be parked
 	retryBurst   = 64.0    // repeats that all balancers together can save up, one each at the least
 	probeShare   = 1.0 / 3 // probes as a share of requests, where only probes bring reports
+	coldFew      = 1.0     // sends within the fall time that load no cold server,
+	coldPart     = 0.7     // and the part of what reports say it can do
 	minTracked   = 8       // servers tracked at the least: a mean of fewer is no reference
 	cover        = 8       // and so many that each server is tracked by about this many balancers
 	shedFrom     = 1.2     // pressure at which shedding starts,
@@ -275,15 +277,19 @@
 }
 
 // coldGap guards the fourth rule: the least time between two sends to a cold server, even if all others look
-// bad. It is this balancer's even part of what the server can do, halfway (in ratio) to where it falls over.
+// bad. It is this balancer's part of what comes, half way (by ratio) to where it falls; or of what reports
+// say it can do, or of a few: else each tier of a fleet that starts anew lets through a part of what the one
+// above does.
 func (b *Balancer) coldGap(s *server, now time.Duration) time.Duration {
 	ramp := b.ramp(s, now)
 	if ramp == 1 {
 		return 0
 	}
 	even := max(b.rate, float64(b.arrivals)/b.length.Seconds()) / float64(max(len(b.tracked), 1))
-	gap := 1 / (even * ramp * math.Sqrt(max(b.set.Rules.FallMultiple, 1)))
-	return time.Duration(min(gap*float64(time.Second), float64(b.set.Rules.ColdTime)))
+	few := coldFew / cmp.Or(b.set.Rules.FallTime, b.set.Rules.ColdTime).Seconds()
+	rate := even * ramp * math.Sqrt(max(b.set.Rules.FallMultiple, 1))
+	rate = max(rate, max(coldPart*b.able(s)*ramp, few)/b.sharers())
+	return time.Duration(min(float64(time.Second)/rate, float64(b.set.Rules.ColdTime)))
 }
 
 // --- health ---
@@ -294,6 +300,7 @@
 	s, c := a.server, &b.classes[r.Class]
 	b.out--
 	away := 0.0
+	b.below.Ended(now, b.meanAim/2, o.Status == Declined)
 	if o.Status == FullUp || o.Status == ConnectFailed {
 		away = 1
 	}
@@ -396,14 +403,7 @@
 
 // endPhase updates what goes by phases: own rate, the subset's size, the spill to other zones.
 func (b *Balancer) endPhase(now time.Duration) {
-	if took := (now - b.phaseAt).Seconds(); took > 0 {
-		seen := float64(b.arrivals) / took
-		if b.rate == 0 {
-			b.rate = seen
-		}
-		b.rate += (seen - b.rate) / 4
-		b.arrivals = 0
-	}
+	b.measure(now)
 	// Exception: servers of other zones join while the own zone is clearly worse, in doubling steps.
 	sum, n := map[bool]float64{}, map[bool]float64{} // by whether a server is local
 	for _, s := range b.tracked {
@@ -437,17 +437,17 @@
 	}
 	b.doneAll++
 	b.doneRate.add(now, b.meanAim)
+	b.burstDone++
 	b.meanLat += ((now - r.arrived).Seconds() - b.meanLat) * max(slowSmoothed/2, 1/float64(b.doneAll))
 }
 
 // pressure foretells the latency of what comes now as a share of the aim: requests open over the rate at
 // which they are done. It rises as soon as answers slow down, long before they are late.
 func (b *Balancer) pressure(now time.Duration) float64 {
-	rate := b.doneRate.get(now, b.meanAim) / (1 - math.Exp(-float64(now-b.start+1)/float64(b.meanAim)))
-	if b.doneAll < matureCount || b.open < matureCount/2 {
+	if b.doneAll < matureCount || b.open < matureCount/2 || now-b.burstAt < b.lookAgain() {
 		return 0
 	}
-	next := float64(b.open) / max(rate, 1e-9)
+	next := float64(b.open) / max(b.doing(now), 1e-9)
 	worst := 0.0
 	for i := range b.classes {
 		if c := &b.classes[i]; c.n > 0 {
@@ -481,15 +481,14 @@
 		from -= band
 		band /= 2
 	}
+	if b.below.Refuses(now, b.meanAim/2, b.lot(r, now)) {
+		return b.retryAfter(), true
+	}
 	p := b.pressure(now)
 	if p <= from || b.lot(r, now) > chance(p, from, band) {
 		return 0, false
 	}
 	b.shed = true
-	if now >= b.shedLog {
-		b.shedLog = now + 4*b.meanAim
-		b.host.Log(fmt.Sprintf("refusing class %d: answers foretold at %.2f of the aim", r.Class, p))
-	}
 	return b.retryAfter(), true
 }
 
--- a/balance/state.go
+++ b/balance/state.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"kitewood/balance/admission"
 )
 
 // What the decision files keep, and plain tools without a decision in them.
@@ -65,6 +67,7 @@
 	hold     time.Duration // how long the next ejection lasts
 	trial    bool          // readmitted, not yet trusted: one attempt at a time
 	coldNext time.Duration // while cold: no send before
+	can      float64       // requests a second once it is warm, by its reports; 0 for not known
 	probed   time.Duration
 	probing  bool
 }
@@ -116,12 +119,16 @@
 	open     int // requests without a final answer
 	doneAll  int
 	doneRate rate
-	meanLat  float64
-	tenants  []rate
-	shedLog  time.Duration
-	start    time.Duration
 
-	retries, probes float64 // budgets
+	burstAt   time.Duration // when requests open became enough to be believed
+	burstDone int           // and how many are done since
+	meanLat   float64
+	tenants   []rate
+	level     int // as last told, in quarters
+	start     time.Duration
+
+	below           admission.Throttle // of what lies below the servers
+	retries, probes float64            // budgets
 	probeAt         int
 	asked           int // failed calls to discovery in a row
 	watching        bool
@@ -238,6 +245,23 @@
 // lookAgain is the moment after which what waits looks for a server by itself.
 func (b *Balancer) lookAgain() time.Duration { return max(b.set.Tick, b.meanAim/16) }
 
+// opens counts a request that has no final answer yet.
+func (b *Balancer) opens(now time.Duration) {
+	if b.open++; b.open == matureCount/2 {
+		b.burstAt, b.burstDone = now, 0
+	}
+}
+
+// doing is how many requests are done a second, over a mean aim; in the first part of a burst what is done in it, if that is
+// more: beside a burst the rest before it looks as if next to nothing were served.
+func (b *Balancer) doing(now time.Duration) float64 {
+	rate := b.doneRate.get(now, b.meanAim) / (1 - math.Exp(-float64(now-b.start+1)/float64(b.meanAim)))
+	if since := now - b.burstAt; since < b.meanAim/2 {
+		rate = max(rate, float64(b.burstDone+1)/max(since, b.set.Tick, time.Millisecond).Seconds())
+	}
+	return rate
+}
+
 // lastWorthy is the place of the youngest that waits and is of a protected class, of the youngest if none is.
 func (b *Balancer) lastWorthy() int {
 	for i := len(b.parked) - 1; i >= 0; i-- {
@@ -248,6 +272,72 @@
 	return len(b.parked) - 1
 }
 
+// Level tells how much is refused here because answers are foretold late: 0 nothing, 1 all that is not worth much for its
+// work, 2 everything; and the share that is refused because what lies below declines it. Repeats go a step before.
+func (b *Balancer) Level(now time.Duration) (level, below float64) {
+	if b.set.Tier != 0 {
+		return 0, 0
+	}
+	return 2 * chance(b.pressure(now), shedFrom, 2*(shedTo-shedFrom)), b.below.Level(now, b.meanAim/2)
+}
+
+// tellLevel notes a change of the level by a quarter for the people on call.
+func (b *Balancer) tellLevel(now time.Duration) {
+	level, below := b.Level(now)
+	if step := int(4*level) + 100*int(4*below); step != b.level {
+		b.level = step
+		b.host.Log(fmt.Sprintf("admission level %.2f of 2: answers foretold at %.2f of the aim, %.2f refused as declined below", level,
+			b.pressure(now), below))
+	}
+}
+
+// measure takes this balancer's own rate at the end of a phase.
+func (b *Balancer) measure(now time.Duration) {
+	b.tellLevel(now)
+	took := (now - b.phaseAt).Seconds()
+	if took <= 0 {
+		return
+	}
+	seen := float64(b.arrivals) / took
+	if b.rate == 0 {
+		b.rate = seen
+	}
+	b.rate += (seen - b.rate) / 4
+	b.arrivals = 0
+}
+
+// gauge learns from a report with a share of use what a server can do once it is warm, in requests a second. Where little
+// is in use the quotient tells nothing.
+func (b *Balancer) gauge(s *server, used float64, now time.Duration) {
+	qps := b.said(s, QPS)
+	if used < gaugeFrom || qps <= 0 {
+		return
+	}
+	can := qps / used / b.ramp(s, now)
+	if s.can == 0 {
+		s.can = can
+	}
+	s.can += (can - s.can) / 4
+}
+
+const gaugeFrom = 0.25
+
+// able is what a server can do once it is warm, in requests a second: by its own reports, or as the others do; 0 where
+// no report tells.
+func (b *Balancer) able(s *server) float64 {
+	if s.can > 0 {
+		return s.can
+	}
+	sum, n := 0.0, 0
+	for _, t := range b.tracked {
+		if t.can > 0 {
+			sum += t.can
+			n++
+		}
+	}
+	return sum / float64(max(n, 1))
+}
+
 // lot decides who is refused at a level, in 0..1. What comes from one origin draws the same at all balancers, for a minute
 // of the common clock: a repeat does not win by asking elsewhere, and nobody is the one refused for good.
 func (b *Balancer) lot(r *request, now time.Duration) float64 {
--- a/balance/trend.go
+++ b/balance/trend.go
@@ -67,6 +67,7 @@
 		b.gap += (min(now-s.fresh, 4*b.meanAim) - b.gap) / 16
 	}
 	s.fresh, s.reported = now, true
+	b.gauge(s, u, now)
 	b.read(s, min(max(u, 0), 1), now)
 	return true
 }
--- a/internal/pools/status.go
+++ b/internal/pools/status.go
@@ -35,6 +35,8 @@
 	Index        int64               `json:"index"`             // of its last list
 	Open         int                 `json:"open"`
 	Parked       int                 `json:"parked"`
+	Level        float64             `json:"level"` // of refusals because answers are foretold late: 0 none, 1 all but what is worth most, 2 all
+	Below        float64             `json:"below"` // share refused because services below decline it
 	Shares       map[string]Use      `json:"shares,omitempty"`
 	Destinations []DestinationStatus `json:"destinations"`
 }
@@ -108,7 +110,7 @@
 		out.Open = p.loop.Owed()
 		return out
 	}
-	out.Index, out.Open, out.Parked = v.Index, v.Open, v.Parked
+	out.Index, out.Open, out.Parked, out.Level, out.Below = v.Index, v.Open, v.Parked, v.Level, v.Below
 	for _, d := range v.Destinations {
 		out.Destinations = append(out.Destinations, DestinationStatus{Name: d.Name, Address: d.Address, State: state(d), Weight: d.Weight,
 			Utilisation: d.Utilisation, Failed: d.Failed, InFlight: d.Out, HeldOffMS: d.HeldOff.Milliseconds()})
--- a/internal/program/file.go
+++ b/internal/program/file.go
@@ -94,7 +94,7 @@
 func table(out io.Writer, s pools.Status) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "%s\t%d pools\t%d goroutines\t%d KB\n\n", s.Name, len(s.Pools), s.Goroutines, s.MemoryKB)
-	fmt.Fprintln(w, "POOL\tSTATE\tOPEN\tPARKED\tLIMIT\tUSED\tGUARANTEED\tMOST\tBORROWED")
+	fmt.Fprintln(w, "POOL\tSTATE\tOPEN\tPARKED\tLEVEL\tBELOW\tLIMIT\tUSED\tGUARANTEED\tMOST\tBORROWED")
 	for _, p := range s.Pools {
 		state := "serving"
 		switch {
@@ -103,14 +103,14 @@
 		case p.Retired:
 			state = "retired"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t\t\t\t\t\n", p.Name, state, p.Open, p.Parked)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%.2f\t%.2f\t\t\t\t\t\n", p.Name, state, p.Open, p.Parked, p.Level, p.Below)
 		for _, key := range slices.Sorted(maps.Keys(p.Shares)) {
 			u := p.Shares[key]
 			most := "-"
 			if u.Most > 0 {
 				most = strconv.Itoa(u.Most)
 			}
-			fmt.Fprintf(w, "\t\t\t\t%s\t%d\t%d\t%s\t%d\n", key, u.Used, u.Guaranteed, most, u.Borrowed)
+			fmt.Fprintf(w, "\t\t\t\t\t\t%s\t%d\t%d\t%s\t%d\n", key, u.Used, u.Guaranteed, most, u.Borrowed)
 		}
 	}
 	fmt.Fprintln(w)
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -10,8 +10,9 @@
 
 // View is what a Loop knows at a moment.
 type View struct {
-	Index        int64 // of the last pool config
-	Open, Parked int   // operations
+	Index        int64   // of the last pool config
+	Open, Parked int     // operations
+	Level, Below float64 // of refusals: see balance.Balancer.Level
 	Destinations []DestinationView
 }
 
@@ -42,6 +43,7 @@
 func (l *Loop) view() View {
 	servers, open, parked := l.balancer.View(l.Now())
 	v := View{Index: l.pool.index, Open: open, Parked: parked}
+	v.Level, v.Below = l.balancer.Level(l.Now())
 	for _, s := range servers {
 		if d := l.pool.byID[s.ID]; d != nil {
 			v.Destinations = append(v.Destinations, DestinationView{d.Name, d.Address, d.Zone, s})
