--- a/internal/lab/drill/drill.go
+++ b/internal/lab/drill/drill.go
@@ -81,7 +81,7 @@
 // All are the drills, by name.
 func All() []Drill {
 	all := []Drill{rulesDrill, stallDrill, rateDrill, leftoversDrill, calmDrill, poolsDrill, xdsDrainDrill, xdsReconnectDrill, xdsScaleDrill,
-		fleetOverloadDrill, etcdBurstDrill, etcdCompactDrill, etcdChaosDrill, etcdScaleDrill}
+		fleetOverloadDrill, closedLoopDrill, etcdBurstDrill, etcdCompactDrill, etcdChaosDrill, etcdScaleDrill}
 	slices.SortFunc(all, func(a, b Drill) int {
 		if a.Name < b.Name {
 			return -1
