Control service: status tells which proxy answered word of a drain, and which owes an answer

Need: a drain's word that a proxy has not answered was seen as the longest wait of all, not whose it was. Change: kitewood-control status shows for each proxy how long its last answer to a drain took and how long one is owed. The drills' check that all proxies have endpoints is one function. Measured: the tests of the control service and of xdsserver.

--- a/cmd/kitewood-control/main.go
+++ b/cmd/kitewood-control/main.go
@@ -143,6 +143,10 @@
 				t.Acked, t.WaitingMS, t.Refused)
 		}
 	}
+	fmt.Fprintln(w, "\nDRAINS AT\tPEER\tLAST ANSWERED AFTER\tUNANSWERED FOR")
+	for _, p := range s.Proxies {
+		fmt.Fprintf(w, "%s\t%s\t%.1fms\t%.1fms\n", p.Node, p.Peer, p.DrainedMS, p.OwesMS)
+	}
 	fmt.Fprintln(w, "\nREPORTS OF\tAGE")
 	for _, r := range s.Reports {
 		fmt.Fprintf(w, "%s\t%dms\n", r.Proxy, r.AgeMS)
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -29,6 +29,9 @@
 	SinceMS int64        `json:"since_ms"`
 	Unknown []string     `json:"unknown,omitempty"` // types that it asked for and that are not served
 	Types   []TypeStatus `json:"types"`
+	// DrainedMS is how long it took to answer the last word of a drain, OwesMS how long one has had no answer.
+	DrainedMS float64 `json:"drained_ms,omitempty"`
+	OwesMS    float64 `json:"owes_ms,omitempty"`
 }
 
 // ReportStatus is a proxy that reports loads, by its node and connection.
@@ -71,7 +74,8 @@
 		out.Reports = append(out.Reports, ReportStatus{proxy, ages[proxy].Milliseconds()})
 	}
 	for _, p := range proxies {
-		x := ProxyStatus{Node: p.Node, Peer: p.Peer, Delta: p.Delta, SinceMS: p.Since.Milliseconds(), Unknown: p.Unknown}
+		x := ProxyStatus{Node: p.Node, Peer: p.Peer, Delta: p.Delta, SinceMS: p.Since.Milliseconds(), Unknown: p.Unknown,
+			DrainedMS: ms(p.Drained), OwesMS: ms(p.Owes)}
 		for _, t := range p.Types {
 			x.Types = append(x.Types, TypeStatus{Type: t.TypeURL, Names: t.Names, Sent: t.Sent, Acked: t.Acked,
 				WaitingMS: t.Waiting.Milliseconds(), Refused: t.Refused})
@@ -79,12 +83,13 @@
 		out.Proxies = append(out.Proxies, x)
 	}
 	if slices.Sort(drains); len(drains) > 0 {
-		ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 		out.Drains = DrainStatus{len(drains), ms(drains[len(drains)/2]), ms(drains[len(drains)-1])}
 	}
 	return out
 }
 
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
 func admin(ctx context.Context, path string, s *Service, log *slog.Logger) error {
 	return adminsocket.Serve(ctx, path, log, map[string]adminsocket.Answer{
 		adminsocket.State: adminsocket.Once(func() any { return s.Status() }),
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -262,6 +262,9 @@
 	testkit.Until(t, "both proxies and their drains are shown", func() bool { s := service.Status(); return len(s.Proxies) == 2 && s.Drains.Count >= 2 })
 	s := service.Status()
 	for _, p := range s.Proxies {
+		if p.DrainedMS <= 0 || p.OwesMS != 0 {
+			t.Errorf("drains of %s: %g ms, owes %g", p.Node, p.DrainedMS, p.OwesMS)
+		}
 		for _, x := range p.Types {
 			if x.Type == xds.TypeEndpoint && (x.Names != 1 || x.Refused != "") {
 				t.Errorf("%+v", p)
--- a/internal/lab/drill/controlservice.go
+++ b/internal/lab/drill/controlservice.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"kitewood/internal/lab/child"
+	"kitewood/internal/lab/proxy"
 )
 
 // controlService is a kitewood-control process.
@@ -49,3 +51,8 @@
 	}
 	return nil
 }
+
+// allReady tells whether all of the lab's proxies have endpoints of the pool that the drills send to.
+func allReady(tables []*proxy.Table) bool {
+	return !slices.ContainsFunc(tables, func(t *proxy.Table) bool { return !t.Ready("web") })
+}
--- a/internal/lab/drill/etcdrig.go
+++ b/internal/lab/drill/etcdrig.go
@@ -266,10 +266,8 @@
 // ready waits until all proxies and sidecars can send.
 func (r *etcdRig) ready(ctx context.Context) error {
 	return r.until(ctx, "all can send", func() bool {
-		for _, t := range r.tables {
-			if !t.Ready("web") {
-				return false
-			}
+		if !allReady(r.tables) {
+			return false
 		}
 		for _, front := range r.fronts {
 			a, err := http.Get("http://" + front + "/first") // what is told as ready may have an empty list yet
--- a/internal/lab/drill/xdsreconnect.go
+++ b/internal/lab/drill/xdsreconnect.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
@@ -71,13 +70,8 @@
 		clients[n] = &proxy.Client{Node: fmt.Sprintf("lab-%d", n), Servers: servers, Delta: n%2 == 0, Table: tables[n], Log: o.Log}
 		wait.Go(func() { clients[n].Run(ctx) })
 	}
-	for until := time.Now().Add(controlWait); ; time.Sleep(10 * time.Millisecond) {
-		if !slices.ContainsFunc(tables, func(t *proxy.Table) bool { return !t.Ready("web") }) {
-			break
-		}
-		if time.Now().After(until) || ctx.Err() != nil {
-			return nil, errors.New("the proxies have no endpoints within a minute")
-		}
+	if err := until(ctx, services[0].Control, "the proxies have endpoints", func() bool { return allReady(tables) }); err != nil {
+		return nil, err
 	}
 
 	sent, failed := make([]int, proxies), make([]int, proxies)
--- a/internal/xdsserver/hub.go
+++ b/internal/xdsserver/hub.go
@@ -82,6 +82,8 @@
 	Since   time.Duration // how long it has been connected
 	Unknown []string
 	Types   []xds.TypeState
+	Drained time.Duration // from the last word of a drain to its answer; 0 before the first
+	Owes    time.Duration // how long a word of a drain has no answer; 0 if there is none
 }
 
 // Status tells how each stream stands, by node and peer, and the times of the last drains.
--- a/internal/xdsserver/stream.go
+++ b/internal/xdsserver/stream.go
@@ -32,6 +32,7 @@
 
 	mu   sync.Mutex // guards core for those who look
 	core *xds.Stream
+	last time.Duration // from word to answer of the last drain
 
 	late   bool // a drain that has no answer in time was logged
 	refuse map[string]string
@@ -159,6 +160,9 @@
 	first := x.core.Node == "" && q.Node != ""
 	err := x.core.Take(x.hub.now(), q)
 	drains := x.core.Drains()
+	if len(drains) > 0 {
+		x.last = drains[len(drains)-1]
+	}
 	x.mu.Unlock()
 	if err != nil {
 		x.log.Warn("a stream is ended: its proxy breaks the protocol", "peer", x.peer, "node", x.node(), "error", err)
@@ -207,5 +211,6 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := x.hub.now()
-	return Proxy{Node: x.core.Node, Peer: x.peer, Delta: x.delta, Since: now - x.began, Unknown: x.core.Unknown, Types: x.core.State(now)}
+	return Proxy{Node: x.core.Node, Peer: x.peer, Delta: x.delta, Since: now - x.began, Unknown: x.core.Unknown, Types: x.core.State(now),
+		Drained: x.last, Owes: x.core.Undrained(now)}
 }
