--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -5,8 +5,14 @@
 	"strings"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
+
+	"kitewood/internal/testkit"
 )
 
+func TestMain(m *testing.M) { testkit.Main(m) }
+
 // learned starts a balancer that has seen enough answers that it believes what it knows of latencies.
 func learned(t *testing.T, set Settings, servers int, latency time.Duration) (*Balancer, *recorder) {
 	b, h := start(t, set, fleet(servers))
@@ -283,6 +289,25 @@
 	}
 }
 
+// At any pressure, what is worth much for its work is not refused where the rest that draws the same lot is let in.
+func TestALevelRefusesTheLeastWorthFirst(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		b, _ := learned(t, settings(), 5, 100*ms)
+		now := 30 * time.Second
+		b.open, b.burstAt = rapid.IntRange(0, 400).Draw(r, "open"), -time.Hour
+		b.doneRate = rate{rapid.Float64Range(1, 100).Draw(r, "rate"), now}
+		b.classes[1].protected = true
+		ask := func(class int, repeat bool, origin uint64) bool {
+			_, no := b.shedding(&request{Request: Request{Class: class, Repeat: repeat, Origin: origin}}, now)
+			return no
+		}
+		repeat, origin := rapid.Bool().Draw(r, "repeat"), rapid.Uint64Min(1).Draw(r, "origin")
+		if ask(1, repeat, origin) && !ask(0, repeat, origin) {
+			r.Fatalf("at pressure %g the worthier is refused alone", b.pressure(now))
+		}
+	})
+}
+
 // What lies below has declined is the answer: no other attempt, no word against the server.
 func TestDeclinedEndsARequest(t *testing.T) {
 	b, h := start(t, settings(), fleet(5))
