--- a/internal/lab/fleet/cases.go
+++ b/internal/lab/fleet/cases.go
@@ -24,8 +24,8 @@
 	caseFor = 20 * second // the long ones
 )
 
-// Overload tells the stretches of the case that goes from a quiet day over the fleet's capacity to twice that: at its
-// capacity from FullFrom, at twice of it from the case's From to its To.
+// FullFrom is when the case double goes from a quiet day to the fleet's capacity; at twice of it it is from the case's From
+// to its To.
 const FullFrom = 4 * time.Second
 
 // trouble adds one.
