--- a/internal/lab/scenario/plan.go
+++ b/internal/lab/scenario/plan.go
@@ -194,6 +194,17 @@
 		Reports: model.Reports{Period: t.Reports.Period.D(), Delay: t.Reports.Delay.D(), Noise: t.Reports.Noise}}
 }
 
+// number is how many of some a trouble meets: its count, its part, or all.
+func (t *Trouble) number(of int) int {
+	switch {
+	case t.Count > 0:
+		return min(of, t.Count)
+	case t.Part > 0:
+		return max(1, int(math.Round(t.Part*float64(of))))
+	}
+	return of
+}
+
 // victims picks the instances that a trouble meets.
 func (l *layer) victims(t *Trouble) []Machine {
 	var out []Machine
@@ -207,14 +218,7 @@
 				there = append(there, m)
 			}
 		}
-		n := len(there)
-		switch {
-		case t.Count > 0:
-			n = min(n, t.Count)
-		case t.Part > 0:
-			n = max(1, int(math.Round(t.Part*float64(n))))
-		}
-		for _, i := range l.rng.Perm(len(there))[:n] {
+		for _, i := range l.rng.Perm(len(there))[:t.number(len(there))] {
 			out = append(out, there[i])
 		}
 	}
@@ -238,15 +242,10 @@
 		for i := range order {
 			order[i] = i
 		}
-		n := len(order)
-		switch {
-		case t.Count > 0:
-			n = min(n, t.Count)
-		case t.Part > 0:
-			n = max(1, int(math.Round(t.Part*float64(n))))
+		if t.Count == 0 && t.Part > 0 {
 			order = l.rng.Perm(len(order))
 		}
-		for _, i := range order[:n] {
+		for _, i := range order[:t.number(len(order))] {
 			out = append(out, Event{Sidecar: i})
 		}
 	}
