--- a/internal/lab/drill/closedloop.go
+++ b/internal/lab/drill/closedloop.go
@@ -42,14 +42,14 @@
 	if err != nil {
 		return err
 	}
-	var members []map[string]any
+	var members []listfile.Destination
 	for n := range 8 {
 		i, err := newInstance(fmt.Sprintf("d-%d", n), false)
 		if err != nil {
 			return err
 		}
 		defer i.stop()
-		members = append(members, map[string]any{"name": i.name, "address": i.address, "status": "Ready", "weight": 1})
+		members = append(members, listfile.Destination{Name: i.name, Address: i.address})
 	}
 	last, counts := 6*time.Second, []int{64, 256, 1000}
 	if o.Short {
@@ -57,7 +57,7 @@
 	}
 	for _, callers := range counts {
 		var seen [2]*loop
-		for n, start := range []func(string, string, []map[string]any, Options) (*child.Child, error){startKitewood, startPlain} {
+		for n, start := range []func(string, string, []listfile.Destination, Options) (*child.Child, error){startKitewood, startPlain} {
 			address, err := child.FreeAddress()
 			if err != nil {
 				return err
@@ -96,12 +96,8 @@
 	return nil
 }
 
-func startKitewood(dir, address string, members []map[string]any, o Options) (*child.Child, error) {
-	var list []listfile.Destination
-	for _, m := range members {
-		list = append(list, listfile.Destination{Name: m["name"].(string), Address: m["address"].(string)})
-	}
-	if err := listfile.Write(filepath.Join(dir, "list.yaml"), list); err != nil {
+func startKitewood(dir, address string, members []listfile.Destination, o Options) (*child.Child, error) {
+	if err := listfile.Write(filepath.Join(dir, "list.yaml"), members); err != nil {
 		return nil, err
 	}
 	text := fmt.Sprintf(`name: closed
@@ -124,9 +120,13 @@
 	return c, untilReady(c, address)
 }
 
-func startPlain(dir, address string, members []map[string]any, o Options) (*child.Child, error) {
+func startPlain(dir, address string, members []listfile.Destination, o Options) (*child.Child, error) {
+	var endpoints []map[string]any
+	for _, m := range members {
+		endpoints = append(endpoints, map[string]any{"name": m.Name, "address": m.Address, "status": "Ready", "weight": 1})
+	}
 	text, err := json.Marshal(map[string]any{"name": "plain", "listen": address, "discovery": "127.0.0.1:1", "seed": "1",
-		"known": map[string]any{"snapshot": true, "endpoints": members}})
+		"known": map[string]any{"snapshot": true, "endpoints": endpoints}})
 	if err != nil {
 		return nil, err
 	}
