Log and count what the evidence lacked: calls to discovery, lists, reasons of refusals, closes

Cause: the staging logs name only the end of a watch. When a call was begun, how long it waited, which list was taken and which endpoints it closed, why a request was refused or retried and why a connection was closed could not be read from them. Change: a line for each call to discovery with its number, its answer's wait and why it was given up; one for each list taken, with what it closes; ids and reasons in the debug lines; counters by reason in the admin socket and at the end. The module names the reason of each refusal and failure.

--- a/balance/api.go
+++ b/balance/api.go
@@ -162,6 +162,8 @@
 	Failed                 // a Watch or Fetch failed, or the subscription broke; no entries
 )
 
+func (k ListKind) String() string { return [...]string{"delta", "full", "cached", "failed"}[k] }
+
 // Status tells how an attempt or a probe ended.
 type Status uint8
 
@@ -182,6 +184,28 @@
 	return [...]string{"none", "ok", "error", "turned away", "timed out", "connect failed", "reset", "called off", "not sent", "declined"}[s]
 }
 
+// Reason tells why a request ended without the answer of a server.
+type Reason uint8
+
+// The reasons.
+const (
+	UnknownClass  Reason = iota // the settings name no such class
+	Shed                        // load shedding: an answer is foretold late
+	TooLate                     // too little of its time is left for an answer
+	AttemptsSpent               // it has had as many attempts as are allowed
+	NoEndpoint                  // no server may take it, and it may not wait for one
+	QueueTimeout                // it has waited in the queue for as long as it may
+	NotRepeatable               // an attempt may have run, and its class may not run again
+	NoRetryBudget               // an attempt may have run, and the retry budget is spent
+
+	ReasonCount = iota // how many there are
+)
+
+func (r Reason) String() string {
+	return [...]string{"unknown class", "load shedding", "too late", "attempts spent", "no endpoint", "queue timeout", "not repeatable",
+		"no retry budget"}[r]
+}
+
 // Outcome tells how an attempt ended.
 type Outcome struct {
 	ID      RequestID
@@ -213,9 +237,9 @@
 	// Send passes a request to a server. The first Send of a request is its attempt 0, the next is 1, and so on.
 	Send(id RequestID, server ServerID, timeout time.Duration)
 	// Refuse ends a request unserved; trying again is harmless, after retryAfter if that is above 0.
-	Refuse(id RequestID, retryAfter time.Duration)
+	Refuse(id RequestID, retryAfter time.Duration, why Reason)
 	// Fail ends a request unserved and promises nothing.
-	Fail(id RequestID)
+	Fail(id RequestID, why Reason)
 	// Cancel stops waiting for an attempt; its outcome still comes.
 	Cancel(id RequestID, attempt int)
 	// Probe asks a server for its health and load; one Probed event answers.
--- a/internal/pools/status.go
+++ b/internal/pools/status.go
@@ -19,6 +19,8 @@
 	Limits     map[string]Limit `json:"limits"`    // by the key in shares
 	Pools      []PoolStatus     `json:"pools"`
 	Listeners  []string         `json:"listeners"`
+
+	Closings map[string]uint64 `json:"closings"` // ends of clients' connections, by reason
 }
 
 // Limit is one limit of the process.
@@ -39,6 +41,7 @@
 	Below        float64             `json:"below"` // share refused because services below decline it
 	Shares       map[string]Use      `json:"shares,omitempty"`
 	Destinations []DestinationStatus `json:"destinations"`
+	Counts       map[string]uint64   `json:"counts"` // requests, attempts, refusals, retries and lists since the start, by name
 }
 
 // Use is what a pool holds of a limit. Borrowed units are a part of those used.
@@ -72,6 +75,9 @@
 	all = append(all, slices.Collect(maps.Keys(s.retired))...)
 	out := Status{Name: s.file.Name, Goroutines: runtime.NumGoroutine(), Limits: map[string]Limit{},
 		Listeners: slices.Sorted(maps.Keys(s.listeners))}
+	if s.front != nil {
+		out.Closings = s.front.Closings()
+	}
 	s.mu.Unlock()
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
@@ -111,6 +117,7 @@
 		return out
 	}
 	out.Index, out.Open, out.Parked, out.Level, out.Below = v.Index, v.Open, v.Parked, v.Level, v.Below
+	out.Counts = v.Metrics.Counts()
 	for _, d := range v.Destinations {
 		out.Destinations = append(out.Destinations, DestinationStatus{Name: d.Name, Address: d.Address, State: state(d), Weight: d.Weight,
 			Utilisation: d.Utilisation, Failed: d.Failed, InFlight: d.Out, HeldOffMS: d.HeldOff.Milliseconds()})
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -20,7 +20,8 @@
 const (
 	stopLongest = 3 * time.Second
 	stopMargin  = 500 * time.Millisecond
-	stuckAdvice = time.Second // when clients should come back while the loop is stuck
+	stuckAdvice = time.Second           // when clients should come back while the loop is stuck
+	viewWithin  = 50 * time.Millisecond // the loop may take so long to tell what it counts
 )
 
 // Serve runs the sidecar that the environment describes until a signal stops it and nothing is owed to a client any more.
@@ -85,6 +86,9 @@
 		longest = max(longest, class.Deadline)
 	}
 	front.Stop(ctx, min(longest, stopLongest)+stopMargin, ln)
+	if v, ok := loop.View(viewWithin); ok {
+		log.Info("counts", "requests", &v.Metrics, "connections", front.Closings())
+	}
 	log.Info("stopped", "owed", loop.Owed())
 	return nil
 }
--- a/internal/routing/host.go
+++ b/internal/routing/host.go
@@ -18,12 +18,16 @@
 }
 
 // Refuse answers at once that the sidecar is busy.
-func (h host) Refuse(id balance.RequestID, retryAfter time.Duration) {
-	h.answer(h.ops[id], Answer{Verdict: Busy, RetryAfter: retryAfter})
+func (h host) Refuse(id balance.RequestID, retryAfter time.Duration, why balance.Reason) {
+	h.metrics.Refused[why]++
+	h.answerBecause(h.ops[id], Answer{Verdict: Busy, RetryAfter: retryAfter}, why.String())
 }
 
 // Fail answers at once that the operation failed.
-func (h host) Fail(id balance.RequestID) { h.answer(h.ops[id], Answer{Verdict: Failed}) }
+func (h host) Fail(id balance.RequestID, why balance.Reason) {
+	h.metrics.Failed[why]++
+	h.answerBecause(h.ops[id], Answer{Verdict: Failed}, why.String())
+}
 
 // Cancel calls an attempt off.
 func (h host) Cancel(id balance.RequestID, attempt int) {
--- a/internal/routing/interfaces.go
+++ b/internal/routing/interfaces.go
@@ -34,6 +34,8 @@
 	ranAt    time.Duration // when the first attempt that may have run was sent, 0 for none
 	attempts []*Attempt
 	out      int // attempts without an outcome
+
+	lastStatus balance.Status // of the attempt that ended last
 }
 
 // Verdict is the kind of a final answer.
--- a/internal/routing/loop.go
+++ b/internal/routing/loop.go
@@ -33,6 +33,8 @@
 	looked  bool         // the event only looked
 	named   atomic.Int64 // began of the event that was last logged as stuck
 
+	metrics Metrics
+
 	lastID balance.RequestID
 	ops    map[balance.RequestID]*Operation
 	keys   map[string]*Operation // those of ops that have a key
--- a/internal/routing/operation.go
+++ b/internal/routing/operation.go
@@ -45,6 +45,7 @@
 		}
 	}
 	l.lastID++
+	l.metrics.Requests++
 	op.id, op.came = l.lastID, l.Now()
 	l.ops[op.id] = op
 	if op.Key != "" {
@@ -63,16 +64,22 @@
 func (l *Loop) abandon(op *Operation) {
 	if !op.ended.Load() {
 		l.end(op)
+		l.metrics.Abandoned++
+		l.traceAbandoned(op)
 		l.balancer.GoneClient(l.Now(), op.id)
 		l.forget(op)
 	}
 }
 
 // answer gives an operation its one final answer.
-func (l *Loop) answer(op *Operation, a Answer) {
+func (l *Loop) answer(op *Operation, a Answer) { l.answerBecause(op, a, "") }
+
+// answerBecause is answer with the reason of a refusal or a failure, for the log.
+func (l *Loop) answerBecause(op *Operation, a Answer, why string) {
 	if op != nil && !op.ended.Load() {
 		l.end(op)
-		l.traceAnswer(op, a.Verdict)
+		l.metrics.Answers[a.Verdict]++
+		l.traceAnswer(op, a.Verdict, why)
 		op.Done(a)
 		l.forget(op)
 	}
@@ -123,6 +130,7 @@
 		a.Until = op.ranAt + c.Window - onTheWay
 	}
 	busy := op.out > 0 && !l.set.Limits.SecondCopies
+	l.metrics.attempt(op)
 	op.attempts = append(op.attempts, a)
 	op.out++
 	if d == nil || op.ended.Load() || busy || a.late() {
@@ -154,6 +162,8 @@
 	if r.Err != nil {
 		status = r.Err.Status()
 	}
+	op.lastStatus = status
+	l.metrics.Outcomes[status]++
 	l.traceAttempt(a, server, status, r, now)
 	if mayHaveRun(status) && (op.ranAt == 0 || a.sent < op.ranAt) {
 		op.ranAt = a.sent
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -35,12 +35,16 @@
 
 // Lost says that a watch has ended, from any goroutine.
 func (l *Loop) Lost() {
-	l.post(func() { l.balancer.Members(l.Now(), balance.Failed, nil) })
+	l.post(func() {
+		l.metrics.ListsLost++
+		l.balancer.Members(l.Now(), balance.Failed, nil)
+	})
 }
 
 func (l *Loop) applyPool(kind balance.ListKind, index int64, members []Member) {
 	l.pool.index = index
-	l.tracePool(kind, index, members)
+	var closed []string
+	l.metrics.Lists++
 	// Ids are given in the order of names, so that a collision falls out alike at every sidecar.
 	slices.SortStableFunc(members, func(x, y Member) int {
 		if x.Name < y.Name {
@@ -64,7 +68,9 @@
 			d.Address = m.Address
 		}
 		d.since, d.Zone = m.Since, m.Zone
-		l.closeTo(d, m.State != balance.Ready)
+		if l.closeTo(d, m.State != balance.Ready) {
+			closed = append(closed, d.Name)
+		}
 		servers = append(servers, balance.Server{ID: d.ID, Zone: place(l.names.Zones, m.Zone),
 			Kind: place(l.names.Kinds, m.Kind), Cell: m.Group, State: m.State, Units: m.Weight, ReadyAt: m.Since})
 		if m.State == balance.Gone {
@@ -75,22 +81,30 @@
 		switch {
 		case named[name]:
 		case kind != balance.Delta: // a whole list leaves out what is gone
-			l.closeTo(d, true)
+			if l.closeTo(d, true) {
+				closed = append(closed, name)
+			}
 			l.pool.drop(d)
 		case at[d.Address]: // another is there now, so this one is gone: sent to by both names, it would get twice its share
-			l.closeTo(d, true)
+			if l.closeTo(d, true) {
+				closed = append(closed, name)
+			}
 			l.pool.drop(d)
 			servers = append(servers, balance.Server{ID: d.ID, State: balance.Gone})
 		}
 	}
+	l.logPool(kind, index, members, closed)
 	l.balancer.Members(l.Now(), kind, servers)
 }
 
-// closeTo guards the drain rule: attempts that are decided but not yet on their way look at the flag.
-func (l *Loop) closeTo(d *Destination, closed bool) {
-	if d.closed.Swap(closed) != closed && closed {
-		l.carrier.CloseIdle(d)
+// closeTo guards the drain rule: attempts that are decided but not yet on their way look at the flag. It tells whether the
+// destination has just been closed.
+func (l *Loop) closeTo(d *Destination, closed bool) bool {
+	if d.closed.Swap(closed) == closed || !closed {
+		return false
 	}
+	l.carrier.CloseIdle(d)
+	return true
 }
 
 // byAddress are the ids of all destinations.
--- a/internal/routing/trace.go
+++ b/internal/routing/trace.go
@@ -28,26 +28,36 @@
 		}
 	}
 	l.log.Debug("attempt", "operation", a.Op.id, "class", a.Op.Class, "hint", a.Op.Hint, "attempt", a.number,
-		"destination", name, "server", server, "age", age, "status", status.String(), "took", now-a.sent,
+		"id", a.Op.Key, "destination", name, "server", server, "age", age, "status", status.String(), "took", now-a.sent,
 		"opened", a.opened.Load(), "load", r.Load, "error", r.Err)
 }
 
-// traceAnswer notes an operation's final answer.
-func (l *Loop) traceAnswer(op *Operation, v Verdict) {
+// traceAnswer notes an operation's final answer, and why it was refused or failed.
+func (l *Loop) traceAnswer(op *Operation, v Verdict, why string) {
 	if l.traces() {
-		l.log.Debug("answer", "operation", op.id, "class", op.Class, "hint", op.Hint, "repeat", op.Repeat, "verdict",
-			v.String(), "attempts", len(op.attempts), "took", l.Now()-op.came, "left", op.Deadline-l.Now())
+		l.log.Debug("answer", "operation", op.id, "id", op.Key, "class", op.Class, "hint", op.Hint, "repeat", op.Repeat, "verdict",
+			v.String(), "reason", why, "attempts", len(op.attempts), "took", l.Now()-op.came, "left", op.Deadline-l.Now())
 	}
 }
 
-// tracePool notes an endpoint list as it was taken.
-func (l *Loop) tracePool(kind balance.ListKind, index int64, members []Member) {
+// traceAbandoned notes an operation whose client has left.
+func (l *Loop) traceAbandoned(op *Operation) {
 	if l.traces() {
-		count := map[balance.State]int{}
-		for _, m := range members {
-			count[m.State]++
-		}
-		l.log.Debug("endpoint list", "index", index, "whole", kind != balance.Delta, "ready", count[balance.Ready],
-			"draining", count[balance.Draining], "gone", count[balance.Gone])
+		l.log.Debug("abandoned", "operation", op.id, "id", op.Key, "attempts", len(op.attempts), "out", op.out, "took", l.Now()-op.came)
+	}
+}
+
+// namesLogged is how many endpoints a line names at the most.
+const namesLogged = 8
+
+// logPool notes an endpoint list as it was taken, and which endpoints take no new requests from it on: the start of every
+// question on a request that went to the wrong one.
+func (l *Loop) logPool(kind balance.ListKind, index int64, members []Member, closed []string) {
+	count := map[balance.State]int{}
+	for _, m := range members {
+		count[m.State]++
 	}
+	names := closed[:min(len(closed), namesLogged)]
+	l.log.Info("membership update", "index", index, "kind", kind.String(), "ready", count[balance.Ready], "draining", count[balance.Draining],
+		"gone", count[balance.Gone], "closed", len(closed), "names", names)
 }
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -14,6 +14,7 @@
 	Open, Parked int     // operations
 	Level, Below float64 // of refusals: see balance.Balancer.Level
 	Destinations []DestinationView
+	Metrics      Metrics
 }
 
 // DestinationView is a destination with what the module knows of it.
@@ -42,7 +43,7 @@
 
 func (l *Loop) view() View {
 	servers, open, parked := l.balancer.View(l.Now())
-	v := View{Index: l.pool.index, Open: open, Parked: parked}
+	v := View{Index: l.pool.index, Open: open, Parked: parked, Metrics: l.metrics}
 	v.Level, v.Below = l.balancer.Level(l.Now())
 	for _, s := range servers {
 		if d := l.pool.byID[s.ID]; d != nil {
--- a/internal/transport/directory.go
+++ b/internal/transport/directory.go
@@ -31,11 +31,12 @@
 
 	mu        sync.Mutex
 	address   string
-	since     int64              // the version of the last list that this address told, 0 for none
-	moved     time.Time          // when the address was last replaced
-	following bool               // a watch is open or tried for
-	turn      context.CancelFunc // ends the watch that is open, or the pause before it
-	rng       *rand.Rand         // of the goroutine that follows
+	since     int64                   // the version of the last list that this address told, 0 for none
+	moved     time.Time               // when the address was last replaced
+	following bool                    // a watch is open or tried for
+	turn      context.CancelCauseFunc // ends the watch that is open, or the pause before it
+	rng       *rand.Rand              // of the goroutine that follows
+	calls     int                     // to discovery so far
 }
 
 // NewDirectory returns a Directory that watches discovery at an address.
@@ -88,7 +89,7 @@
 	}
 	d.address, d.since, d.moved = address, 0, time.Now()
 	if d.turn != nil {
-		d.turn()
+		d.turn(errMoved)
 	}
 	d.start()
 }
@@ -98,7 +99,7 @@
 	last := ""
 	for pause := leastPause; ; {
 		d.mu.Lock()
-		ctx, cancel := context.WithCancel(d.Context)
+		ctx, cancel := context.WithCancelCause(d.Context)
 		d.turn = cancel
 		address, since, moved := d.address, d.since, d.moved
 		if d.rng == nil {
@@ -117,7 +118,6 @@
 		again := d.Pushed || time.Since(moved) < settling
 		ended := ctx.Err() == nil // by itself
 		if ended {
-			d.Log.Warn("the watch of discovery has ended", "address", address, "since", since, "error", err)
 			wait := time.Duration(-1)
 			switch {
 			case timedOut(err): // it was waited for long enough
@@ -131,12 +131,21 @@
 				wait = pause/2 + d.part(pause) // spread: all sidecars may have met this together
 				pause = min(2*pause, most)
 			}
+			next := "by the module's back-off"
+			if wait >= 0 {
+				next = wait.Round(time.Millisecond).String()
+			}
+			d.Log.Warn("the watch of discovery has ended", "address", address, "since", since, "error", err,
+				"stood", time.Since(began).Round(time.Millisecond), "next", next)
 			select {
 			case <-ctx.Done():
 			case <-time.After(wait):
 			}
+		} else {
+			d.Log.Info("the watch of discovery is given up", "address", address, "since", since, "cause", context.Cause(ctx),
+				"stood", time.Since(began).Round(time.Millisecond))
 		}
-		cancel()
+		cancel(nil)
 
 		d.mu.Lock()
 		again = d.Context.Err() == nil && (again || d.address != address)
@@ -169,7 +178,9 @@
 			err = fmt.Errorf("panic: %v", p)
 		}
 	}()
-	d.Log.Debug("discovery is asked", "address", address, "since", since)
+	d.calls++
+	call, asked := d.calls, time.Now()
+	d.Log.Info("discovery is asked", "call", call, "address", address, "since", since)
 	dialer := net.Dialer{Timeout: comingUp, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -186,9 +197,17 @@
 	lists := protocol.ListReader{Take: func(text []byte) error { return d.line(address, text) }}
 	machine := protocol.Machine{Answers: true, OnBody: lists.Add}
 	buf := make([]byte, 16<<10)
+	answered := false
 	for {
 		n, err := conn.Read(buf)
 		used, msg, broken := machine.Feed(buf[:n])
+		if head := machine.Head(); !answered && (head != nil || msg != nil) {
+			if head == nil {
+				head = msg
+			}
+			answered = true
+			d.Log.Info("discovery answers", "call", call, "status", head.Status(), "waited", time.Since(asked).Round(time.Millisecond))
+		}
 		if head := machine.Head(); head != nil && head.Status() != 200 || msg != nil && msg.Status() != 200 {
 			return errors.New("discovery answered with an error")
 		}
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -24,6 +24,7 @@
 	log    *slog.Logger
 	budget Budget
 
+	closings closings
 	draining atomic.Bool  // no longer ready
 	closing  atomic.Bool  // connections end with their next answer
 	crowded  atomic.Bool  // somebody waits for a descriptor
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -43,6 +43,9 @@
 	asked bool      // to end, to make room or because the sidecar stops
 	known bool      // it has had its first mark
 
+	reason closeReason // why it ends
+	lastID string      // of the last request
+
 	op     *routing.Operation // out, nil for none
 	loop   *routing.Loop      // that op is out in
 	answer chan routing.Answer
@@ -76,6 +79,7 @@
 	for {
 		msg, err := c.next()
 		if err != nil {
+			c.because(closedBadRequest)
 			c.refuse(err)
 			return
 		}
@@ -102,6 +106,7 @@
 		if c.ending && peek(c.conn) != waits {
 			rest := begun.Add(tooSlow) // as much time as keeps a connection from being asked
 			if at != coming || !time.Now().Before(rest) {
+				c.because(closedAsked)
 				c.bow(at) // nothing more has come, and what comes from here on is not taken
 				return
 			}
@@ -126,6 +131,7 @@
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			if !time.Now().Before(until) {
 				if at == coming || peek(c.conn) != waits {
+					c.because(map[bool]closeReason{true: closedIdle, false: closedSlow}[at == resting])
 					c.bow(at)
 					return
 				}
@@ -134,8 +140,10 @@
 		default:
 			if at == coming && errors.Is(err, io.EOF) {
 				_, cut := c.machine.End()
+				c.because(closedBadRequest)
 				c.refuse(cut)
 			}
+			c.because(closedByClient)
 			return
 		}
 	}
@@ -283,7 +291,9 @@
 	}
 	op := &routing.Operation{Class: figures.Class, Deadline: deadline, Hint: figures.Hint,
 		Repeat: figures.Repeat, Payload: m, Key: figures.ID, Sent: sent, Origin: to.origin(m), Word: word, Left: func() bool { return peek(c.conn) == broken }}
+	c.lastID = figures.ID
 	if op.Left() { // it sent its request and went: nothing is begun for it
+		c.because(closedMidRequest)
 		return false
 	}
 	op.Done = func(a routing.Answer) {
@@ -298,6 +308,7 @@
 	a, here := c.wait(buf)
 	c.op = nil
 	if !here {
+		c.because(closedMidRequest)
 		loop.Abandon(op)
 		return false
 	}
@@ -363,9 +374,11 @@
 // send writes an answer and tells whether the connection stays.
 func (c *frontConn) send(last bool, parts ...[]byte) bool {
 	if !c.write(parts...) {
+		c.because(closedWrite)
 		return false
 	}
 	if last {
+		c.because(closedLast)
 		c.linger()
 	}
 	return !last
@@ -407,12 +420,14 @@
 // leave ends the connection. A panic stops here, and the operation that it met still gets its answer.
 func (c *frontConn) leave() {
 	if p := recover(); p != nil {
+		c.because(closedPanic)
 		c.front.log.Error("panic at a front connection", "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
 		if c.op != nil {
 			c.loop.Abandon(c.op)
 		}
 		c.reply(protocol.Reply{Status: 500, Why: "failed"}, true)
 	}
+	c.noteEnd()
 	c.conn.Close()
 	c.front.mu.Lock()
 	delete(c.front.conns, c)
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -331,7 +331,7 @@
 func (i *Instance) Close(server balance.ServerID) { i.record(1); i.u32(uint32(server)) }
 
 // Fail writes fail.
-func (i *Instance) Fail(id balance.RequestID) { i.record(2); i.u32(uint32(id)) }
+func (i *Instance) Fail(id balance.RequestID, _ balance.Reason) { i.record(2); i.u32(uint32(id)) }
 
 // Fetch writes lookup.
 func (i *Instance) Fetch() { i.record(3) }
@@ -365,7 +365,7 @@
 }
 
 // Refuse writes say_no.
-func (i *Instance) Refuse(id balance.RequestID, retryAfter time.Duration) {
+func (i *Instance) Refuse(id balance.RequestID, retryAfter time.Duration, _ balance.Reason) {
 	i.record(9)
 	i.u32(uint32(id))
 	i.span(retryAfter)
