Hold the endpoint list on a lease, and keep the old watch until the new one has told

Cause: a sidecar used the list that it had without asking how old it was. A reload ended the working watch before the next had told anything, cut off the call that waited its turn at discovery (which works it off all the same) and began another; a watch that ended instead of telling, a refused call and a new process left gaps of their own, and nothing bounded them. Directory holds up to three subscriptions: the old one stays until the new one has told (make before break), reloads in a row are gathered while a watch stands, calls that wait keep their place. A call's end has a kind; a full queue (refused at once) is told from a discovery that is down (fails after its whole wait, or breaks).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -71,7 +71,10 @@
 		b.giveUp(r, now, AttemptsSpent)
 		return
 	}
-	s := b.pick(r, now)
+	var s *server
+	if !b.paused(now) {
+		s = b.pick(r, now)
+	}
 	if s == nil {
 		// A keyed request that may have run waits for nothing: its group is what it is.
 		if r.out > 0 || r.mayRun != nil && b.set.Classes[r.Class].Effect != Safe {
--- a/balance/limits_test.go
+++ b/balance/limits_test.go
@@ -40,7 +40,7 @@
 // has a method of Balancer, but the two that hold state and views of it.
 func TestPolicyLimits(t *testing.T) {
 	names := decisionFiles(t)
-	for _, name := range []string{"balance.go", "trend.go", "guard.go"} {
+	for _, name := range []string{"balance.go", "trend.go", "guard.go", "hold.go"} {
 		if !slices.Contains(names, name) {
 			t.Errorf("deploy/balancer.toml does not name %s", name)
 		}
--- a/balance/state.go
+++ b/balance/state.go
@@ -26,6 +26,7 @@
 
 	trend
 	guard
+	pause sendPause
 }
 
 // request is one request from its arrival to the outcome of its last attempt.
--- a/cmd/kitewood/stalelist_test.go
+++ b/cmd/kitewood/stalelist_test.go
@@ -29,7 +29,7 @@
 type staleList struct {
 	t       *testing.T
 	mode    string // of the lists: ask or push
-	began   time.Time
+	began   atomic.Pointer[time.Time]
 	leaving net.Addr
 	staying net.Addr
 	first   string // address of the discovery that it starts with
@@ -45,7 +45,13 @@
 }
 
 // since is the time since the case began.
-func (s *staleList) since() time.Duration { return time.Since(s.began) }
+func (s *staleList) since() time.Duration { return time.Since(*s.began.Load()) }
+
+// begin makes now the beginning of the case.
+func (s *staleList) begin() {
+	now := time.Now()
+	s.began.Store(&now)
+}
 
 // at waits for a time of the case.
 func (s *staleList) at(d time.Duration) { time.Sleep(d - s.since()) }
@@ -122,7 +128,7 @@
 		return h.Listener.Addr()
 	}
 	s.leaving, s.staying = server(true), server(false)
-	s.began = time.Now()
+	s.begin()
 	s.first = s.discovery(first)
 	s.config, s.listen = filepath.Join(t.TempDir(), "config.json"), testkit.Address(t)
 	write(t, s.config, configured(s.listen, s.first, 256, s.mode, s.known()...))
@@ -132,7 +138,7 @@
 	if s.ready {
 		testkit.Until(t, "it has a list", func() bool { return log.Count("kind=full") > 0 })
 	}
-	s.began = time.Now()
+	s.begin()
 	var over atomic.Bool
 	var clients sync.WaitGroup
 	for n := range 4 {
--- a/internal/pools/pool.go
+++ b/internal/pools/pool.go
@@ -39,7 +39,8 @@
 // prepare makes a pool that does not run yet. Its list has been read if it is a file.
 func (s *Set) prepare(f *config.File, conf *config.Pool) (*pool, error) {
 	log := s.log.With("pool", conf.Name)
-	loop, err := routing.New(conf.Module(f.SeedOf(conf.Name)), routing.Names{Zones: conf.Zones, Kinds: conf.Kinds}, s.clock, log)
+	module := conf.Module(f.SeedOf(conf.Name))
+	loop, err := routing.New(module, routing.Names{Zones: conf.Zones, Kinds: conf.Kinds}, s.clock, log)
 	if err != nil {
 		return nil, err
 	}
@@ -47,6 +48,8 @@
 	p.ctx, p.cancel = context.WithCancel(s.ctx)
 	if conf.Members.Discovery != "" {
 		p.discovery = transport.NewDirectory(p.ctx, conf.Members.Discovery, loop, log)
+		p.discovery.Clock, p.discovery.OnHold = s.clock, loop.Hold
+		p.discovery.Seed, p.discovery.Grace = f.SeedOf(conf.Name+"/discovery"), module.Rules.DrainGrace
 		p.watch = p.discovery
 	} else if p.watch, err = s.source(p.ctx, conf.Members.File, loop, log); err != nil {
 		p.cancel()
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -52,7 +52,8 @@
 		return err
 	}
 	directory := transport.NewDirectory(ctx, c.Discovery, loop, log)
-	directory.Pushed, directory.Seed = !c.Module.Ask, c.Module.Seed
+	directory.Pushed, directory.Seed, directory.Grace = !c.Module.Ask, c.Module.Seed, c.Module.Rules.DrainGrace
+	directory.Clock, directory.OnHold = clock, loop.Hold
 	service := &transport.Service{Loop: loop}
 	if c.Module.Limits.RetryAfter {
 		service.Advice = min(stuckAdvice, c.Module.Limits.MaxRetryAfter)
--- a/internal/routing/interfaces.go
+++ b/internal/routing/interfaces.go
@@ -77,6 +77,7 @@
 	Until       time.Duration   // it must have begun by then, 0 for no such time: its window for repeats ends
 	Context     context.Context // done when the attempt is called off
 	clock       Clock
+	hold        *holdWindow // nil for none
 	number      int
 	sent        time.Duration
 	cancel      context.CancelFunc
@@ -93,7 +94,7 @@
 
 // late is Stale without a look at the client's connection.
 func (a *Attempt) late() bool {
-	return a.Destination.closed.Load() || a.Context.Err() != nil || a.Op.ended.Load() || a.Left() <= 0 ||
+	return a.Destination.closed.Load() || a.hold != nil && a.hold.holds(a.clock.Now()) || a.Context.Err() != nil || a.Op.ended.Load() || a.Left() <= 0 ||
 		a.Until > 0 && a.clock.Now() >= a.Until
 }
 
--- a/internal/routing/loop.go
+++ b/internal/routing/loop.go
@@ -39,6 +39,7 @@
 	ops    map[balance.RequestID]*Operation
 	keys   map[string]*Operation // those of ops that have a key
 	pool   pool
+	hold   holdWindow
 	timers timers
 	asked  uint64 // timers asked for so far
 }
--- a/internal/routing/operation.go
+++ b/internal/routing/operation.go
@@ -124,7 +124,7 @@
 	if timeout > 0 {
 		until = min(until, now+timeout)
 	}
-	a := &Attempt{Op: op, Destination: d, Deadline: until, clock: l.Clock, number: len(op.attempts), sent: now}
+	a := &Attempt{Op: op, Destination: d, Deadline: until, clock: l.Clock, hold: &l.hold, number: len(op.attempts), sent: now}
 	a.Context, a.cancel = context.WithCancel(context.Background())
 	if c := &l.set.Classes[op.Class]; c.Effect == balance.Keyed && op.ranAt > 0 {
 		a.Until = op.ranAt + c.Window - onTheWay
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"kitewood/balance"
@@ -33,6 +34,27 @@
 	l.post(func() { l.applyPool(kind, index, members) })
 }
 
+// Hold takes between which times of its clock nothing may be sent, as the endpoint list is too old, from any goroutine. It
+// goes by the lists that were handed over before.
+func (l *Loop) Hold(from, to time.Duration) {
+	l.post(func() {
+		l.hold.set(from, to)
+		l.balancer.Hold(l.Now(), from, to)
+	})
+}
+
+// holdWindow is a stretch of time in which nothing may be sent. The Loop alone sets it.
+type holdWindow struct{ from, to atomic.Int64 }
+
+func (h *holdWindow) set(from, to time.Duration) {
+	h.from.Store(int64(from))
+	h.to.Store(int64(to))
+}
+
+func (h *holdWindow) holds(now time.Duration) bool {
+	return int64(now) >= h.from.Load() && int64(now) < h.to.Load()
+}
+
 // Lost says that a watch has ended, from any goroutine.
 func (l *Loop) Lost() {
 	l.post(func() {
--- /dev/null
+++ b/internal/transport/backoff.go
@@ -0,0 +1,68 @@
+package transport
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// backoff paces the calls of one subscription to discovery.
+type backoff struct {
+	pushed bool
+	moved  bool      // a reload has named its address
+	began  time.Time // of the subscription
+	pause  time.Duration
+	failed int // calls in a row that found discovery out of reach
+}
+
+const (
+	leastPause = 100 * time.Millisecond
+	mostPause  = 800 * time.Millisecond // while a reload settles
+	mostPushed = 200 * time.Millisecond // an agent beside the sidecar is asked by nobody else
+	settling   = 4 * time.Second        // after a reload
+	afterMiss  = 600 * time.Millisecond // after a watch that fell silent: all sidecars meet that together
+	firstBreak = 625 * time.Millisecond // after the first call that found discovery out of reach,
+	mostBreak  = 1250 * time.Millisecond
+	atOnce     = 100 * time.Millisecond // after a call that has waited for seconds already
+	stood      = time.Second            // a watch that lasted this long was no refusal
+
+	// While discovery is full each place that becomes free goes to whoever calls next; the less time is left of the lease the
+	// shorter the pauses.
+	leastFull = 150 * time.Millisecond
+	mostFull  = 600 * time.Millisecond
+	fullShare = 10 // of what is left of the lease
+)
+
+// next is the pause after a call has ended, while the lease still lasts for some time.
+func (b *backoff) next(end callEnd, left time.Duration, rng *rand.Rand) time.Duration {
+	part := func(of time.Duration) time.Duration { return time.Duration(rng.Float64() * float64(of)) }
+	around := func(d time.Duration) time.Duration { return d/2 + part(d) }
+	waited := end.stood >= waitedOut
+	if end.kind != callUnreachable && end.kind != callUnanswered {
+		b.failed = 0
+	}
+	switch {
+	case b.pushed && end.kind != callSilent && end.kind != callUnanswered:
+		return around(b.grow(mostPushed))
+	case end.kind == callUnanswered, end.kind == callUnreachable && waited:
+		return part(atOnce)
+	case end.kind == callSilent:
+		return part(afterMiss)
+	case end.kind == callEnded && end.stood > stood:
+		return part(atOnce)
+	case end.kind == callRefused:
+		return around(min(max(left/fullShare, leastFull), mostFull))
+	case b.moved && time.Since(b.began) < settling:
+		return around(b.grow(mostPause))
+	}
+	b.failed++
+	if b.failed == 1 {
+		return around(firstBreak)
+	}
+	return around(mostBreak)
+}
+
+// grow doubles the pause, up to a bound.
+func (b *backoff) grow(most time.Duration) time.Duration {
+	b.pause = min(max(2*b.pause, leastPause), most)
+	return b.pause
+}
--- a/internal/transport/directory.go
+++ b/internal/transport/directory.go
@@ -3,231 +3,305 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"time"
 
 	"kitewood/balance"
+	"kitewood/internal/lease"
 	"kitewood/internal/protocol"
 	"kitewood/internal/routing"
 )
 
-// Directory watches discovery. It implements routing.Directory.
+// Directory subscribes to discovery and holds the endpoint list on a lease. It implements routing.Directory.
 //
-// One clock opens each watch anew, whatever ended the last one: what discovery has counts as told 6 s after it could be
-// reached, and so a call that is given up or a watch that has fallen silent is followed by the next one at once, and so is
-// a watch that stood and was ended in order: discovery may end one instead of telling. Only one that was refused or broke
-// waits longer, by the module's own back-off.
+// After a reload that names another address the old subscription stays until the new one has told its first list (make
+// before break): the old watch goes on telling, and a call that waits its turn at discovery keeps its place. A subscription
+// that a later reload has superseded is not called again once its call or its watch has ended.
+//
+// The latest subscription is called again for as long as the Directory lives, at the pace of a backoff.
 type Directory struct {
 	Loop    routing.Lists
 	Log     *slog.Logger
-	Context context.Context // ends all watches
-	Pushed  bool            // lists come by themselves and count as told at once: the watch is never given up
+	Context context.Context // ends all subscriptions
+	Pushed  bool            // lists come by themselves and count as told at once
 	Seed    uint64          // of the pauses
+	Grace   time.Duration   // requests may go to a server for so long after word that it drains
+	Clock   routing.Clock   // of the Loop, for OnHold
+
+	// OnHold is told between which times of the Clock no request may be sent, as the list is too old. It is nil where nobody
+	// sends by the list.
+	OnHold func(from, to time.Duration)
+
+	mu            sync.Mutex
+	subscriptions []*subscription // oldest first; the last one is the latest
+	created       time.Time
+	followed      bool // Follow or Move has started the first one
+	lease         *lease.Lease
+	movedAt       time.Time // the first reload that is not confirmed yet
+	rng           *rand.Rand
+	calls         int // to discovery so far
 
-	mu        sync.Mutex
-	address   string
-	since     int64                   // the version of the last list that this address told, 0 for none
-	moved     time.Time               // when the address was last replaced
-	following bool                    // a watch is open or tried for
-	turn      context.CancelCauseFunc // ends the watch that is open, or the pause before it
-	rng       *rand.Rand              // of the goroutine that follows
-	calls     int                     // to discovery so far
+	telling sync.Mutex // held while a list is handed over, so that lists come in the order in which they count
 }
 
-// NewDirectory returns a Directory that watches discovery at an address.
-func NewDirectory(ctx context.Context, address string, loop routing.Lists, log *slog.Logger) *Directory {
-	return &Directory{Context: ctx, address: address, Loop: loop, Log: log}
+// subscription is one address of discovery that is, or was, the configured one.
+type subscription struct {
+	generation int // counts reloads
+	address    string
+	since      int64         // version of the last list that this address told, 0 for none
+	superseded chan struct{} // closed when a later reload names another address
+	ctx        context.Context
+	cancel     context.CancelCauseFunc
+	standing   bool // a watch stands and has told a list
+	waiting    bool // a call waits for its answer
 }
 
 const (
-	beat     = 2 * time.Second         // discovery sends an empty line this often while nothing changes
-	silence  = beat + 3*time.Second/4  // after this long without a line a watch is dead: a beat is missing
-	comingUp = 1200 * time.Millisecond // a connection that has not come up by then will not
-	opening  = 3200 * time.Millisecond // a watch that has not begun by then will not: discovery gives a call 3 s
+	// mostSubscriptions bounds the connections to discovery; descriptors for them are in reserve.
+	mostSubscriptions = 3
+
+	// While an old watch stands a reload waits for others to follow: each call costs discovery a turn, also one that is cut off.
+	quietAfterMove = time.Second
+	mostQuiet      = 2 * time.Second
+	// An agent beside the sidecar answers at once, and what it has counts sooner.
+	quietPushed     = 150 * time.Millisecond
+	mostQuietPushed = 300 * time.Millisecond
+)
 
-	settling   = 4 * time.Second        // after a move the Directory itself tries again, for this long,
-	leastPause = 100 * time.Millisecond // with pauses from this
-	mostPause  = 800 * time.Millisecond // to this
-	atOnce     = 600 * time.Millisecond // within this after silence: all sidecars meet it together
-	stood      = time.Second            // a watch that lasted this long was no refusal
+var (
+	errMoved   = errors.New("discovery is watched elsewhere")
+	errEvicted = errors.New("too many reloads in a row")
 )
 
 var _ routing.Directory = (*Directory)(nil)
 
-// Follow opens a watch unless one is open or tried for. It implements routing.Directory. The version is that of the list
-// that the sidecar started with; what this address has told since goes before it.
+// NewDirectory returns a Directory of discovery at an address.
+func NewDirectory(ctx context.Context, address string, loop routing.Lists, log *slog.Logger) *Directory {
+	d := &Directory{Context: ctx, Loop: loop, Log: log, Clock: routing.NewClock(), created: time.Now()}
+	d.add(0, address)
+	return d
+}
+
+// Follow subscribes, once. It implements routing.Directory. The version is that of the list that the sidecar started with;
+// what an address has told since goes before it.
 func (d *Directory) Follow(since int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.moved.IsZero() && d.since == 0 {
-		d.since = since
+	if d.followed {
+		return
 	}
-	d.start()
-}
-
-// start has a goroutine follow, if none does. d.mu is held.
-func (d *Directory) start() {
-	if !d.following {
-		d.following = true
-		go d.follow()
+	first := d.latest()
+	if first.generation == 0 {
+		first.since = since
 	}
+	d.start(first)
 }
 
-// Move goes on with discovery at another address, at once: the old one may end its watches, or have ended them, and
-// what the new one tells counts as told soon, whether or not it was asked. Another discovery counts its versions for
-// itself, so its list is asked for whole.
+// Move subscribes to discovery at another address, which counts its versions for itself: its list is asked for whole.
 func (d *Directory) Move(address string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if address == d.address {
+	old := d.latest()
+	if address == old.address {
 		return
 	}
-	d.address, d.since, d.moved = address, 0, time.Now()
-	if d.turn != nil {
-		d.turn(errMoved)
+	d.prepare()
+	if d.movedAt.IsZero() {
+		d.movedAt = time.Now()
+	}
+	close(old.superseded)
+	if !d.followed {
+		d.remove(old, errMoved)
+	}
+	for len(d.subscriptions) >= mostSubscriptions {
+		d.remove(d.leastUseful(), errEvicted)
 	}
-	d.start()
+	next := d.add(d.lease.Moved(d.Clock.Now()), address)
+	d.renewed()
+	d.start(next)
 }
 
-// follow runs watches until one ends in a way that the module answers.
-func (d *Directory) follow() {
-	last := ""
-	for pause := leastPause; ; {
-		d.mu.Lock()
-		ctx, cancel := context.WithCancelCause(d.Context)
-		d.turn = cancel
-		address, since, moved := d.address, d.since, d.moved
-		if d.rng == nil {
-			d.rng = rand.New(rand.NewPCG(d.Seed, 0x6469726563746f72))
-		}
-		d.mu.Unlock()
-		if last != address {
-			last, pause = address, leastPause
-		}
+// latest is the subscription that the configuration names. d.mu is held, or nobody else has the Directory.
+func (d *Directory) latest() *subscription { return d.subscriptions[len(d.subscriptions)-1] }
 
-		began, most := time.Now(), mostPause
-		if d.Pushed { // by an agent beside the sidecar, whom nobody else asks
-			most = 2 * leastPause
-		}
-		err := d.watch(ctx, address, since)
-		again := d.Pushed || time.Since(moved) < settling
-		ended := ctx.Err() == nil // by itself
-		if ended {
-			wait := time.Duration(-1)
-			switch {
-			case timedOut(err): // it was waited for long enough
-				again, wait = true, d.part(atOnce)
-			case errors.Is(err, io.EOF) && time.Since(began) > stood:
-				again, wait = true, d.part(leastPause)
-			case again:
-				if time.Since(began) > settling { // it stood
-					pause = leastPause
-				}
-				wait = pause/2 + d.part(pause) // spread: all sidecars may have met this together
-				pause = min(2*pause, most)
-			}
-			next := "by the module's back-off"
-			if wait >= 0 {
-				next = wait.Round(time.Millisecond).String()
-			}
-			d.Log.Warn("the watch of discovery has ended", "address", address, "since", since, "error", err,
-				"stood", time.Since(began).Round(time.Millisecond), "next", next)
-			select {
-			case <-ctx.Done():
-			case <-time.After(wait):
+func (d *Directory) add(generation int, address string) *subscription {
+	s := &subscription{generation: generation, address: address, superseded: make(chan struct{})}
+	s.ctx, s.cancel = context.WithCancelCause(d.Context)
+	d.subscriptions = append(d.subscriptions, s)
+	return s
+}
+
+// start has a subscription called. d.mu is held.
+func (d *Directory) start(s *subscription) {
+	d.prepare()
+	d.followed = true
+	go d.run(s)
+}
+
+// prepare makes what depends on the fields that are set after New. d.mu is held.
+func (d *Directory) prepare() {
+	if d.lease != nil {
+		return
+	}
+	rules := lease.Asked(d.Grace)
+	if d.Pushed {
+		rules = lease.Pushed(d.Grace)
+	}
+	d.lease = lease.New(rules, d.Clock.Now()-time.Since(d.created)) // from the process's start on it has a list
+	d.rng = rand.New(rand.NewPCG(d.Seed, 0x6469726563746f72))
+	d.renewed()
+}
+
+// leastUseful is the subscription to give up for a new one: the oldest that neither stands nor waits for its turn, else the
+// oldest that does not stand, else the oldest. d.mu is held.
+func (d *Directory) leastUseful() *subscription {
+	for _, useless := range []func(*subscription) bool{
+		func(s *subscription) bool { return !s.standing && !s.waiting },
+		func(s *subscription) bool { return !s.standing },
+	} {
+		for _, s := range d.subscriptions {
+			if useless(s) {
+				return s
 			}
-		} else {
-			d.Log.Info("the watch of discovery is given up", "address", address, "since", since, "cause", context.Cause(ctx),
-				"stood", time.Since(began).Round(time.Millisecond))
 		}
-		cancel(nil)
+	}
+	return d.subscriptions[0]
+}
 
-		d.mu.Lock()
-		again = d.Context.Err() == nil && (again || d.address != address)
-		d.turn, d.following = nil, again
-		d.mu.Unlock()
-		if ended || !again {
-			d.Loop.Lost() // it may ask for the next watch, which is open then
-		}
-		if !again {
+// remove ends a subscription. d.mu is held.
+func (d *Directory) remove(s *subscription, cause error) {
+	s.cancel(cause)
+	for i, other := range d.subscriptions {
+		if other == s {
+			d.subscriptions = append(d.subscriptions[:i:i], d.subscriptions[i+1:]...)
 			return
 		}
 	}
 }
 
-// timedOut tells whether a watch ended because nothing came: no connection, no answer, no line.
-func timedOut(err error) bool {
-	var e net.Error
-	return errors.As(err, &e) && e.Timeout()
+// run calls discovery for a subscription until that is given up, or ends after a later reload.
+func (d *Directory) run(s *subscription) {
+	d.awaitQuiet(s)
+	pace := backoff{pushed: d.Pushed, moved: s.generation > 0, began: time.Now()}
+	for s.ctx.Err() == nil && !s.isSuperseded() {
+		end := d.call(s)
+		if s.ctx.Err() != nil {
+			d.Log.Info("the watch of discovery is given up", "address", s.address, "cause", context.Cause(s.ctx),
+				"stood", end.stood.Round(time.Millisecond))
+			break
+		}
+		pause := d.ended(s, end, &pace)
+		select {
+		case <-s.ctx.Done():
+		case <-s.superseded:
+		case <-time.After(pause):
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.latest() != s {
+		d.remove(s, errMoved)
+	}
 }
 
-// part is a random part of a time.
-func (d *Directory) part(of time.Duration) time.Duration {
-	return time.Duration(d.rng.Float64() * float64(of))
+func (s *subscription) isSuperseded() bool {
+	select {
+	case <-s.superseded:
+		return true
+	default:
+		return false
+	}
 }
 
-// watch runs one watch to its end.
-func (d *Directory) watch(ctx context.Context, address string, since int64) (err error) {
-	defer func() {
-		if p := recover(); p != nil {
-			err = fmt.Errorf("panic: %v", p)
-		}
-	}()
-	d.calls++
-	call, asked := d.calls, time.Now()
-	d.Log.Info("discovery is asked", "call", call, "address", address, "since", since)
-	dialer := net.Dialer{Timeout: comingUp, KeepAlive: -1}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return err
+// awaitQuiet has a reload wait for others in quick succession, while an older watch stands.
+func (d *Directory) awaitQuiet(s *subscription) {
+	quiet, most := quietAfterMove, mostQuiet
+	if d.Pushed {
+		quiet, most = quietPushed, mostQuietPushed
 	}
-	until := time.Now().Add(opening)
-	defer conn.Close()
-	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	target := fmt.Sprintf("/registry/instances?follow=1&since=%d", since)
-	conn.SetDeadline(until)
-	if _, err := conn.Write(protocol.GetText(address, target)); err != nil {
-		return err
+	d.mu.Lock()
+	wait := min(quiet, time.Until(d.movedAt.Add(most)))
+	if !d.stands() {
+		wait = 0
 	}
-	lists := protocol.ListReader{Take: func(text []byte) error { return d.line(address, text) }}
-	machine := protocol.Machine{Answers: true, OnBody: lists.Add}
-	buf := make([]byte, 16<<10)
-	answered := false
-	for {
-		n, err := conn.Read(buf)
-		used, msg, broken := machine.Feed(buf[:n])
-		if head := machine.Head(); !answered && (head != nil || msg != nil) {
-			if head == nil {
-				head = msg
-			}
-			answered = true
-			d.Log.Info("discovery answers", "call", call, "status", head.Status(), "waited", time.Since(asked).Round(time.Millisecond))
+	d.mu.Unlock()
+	for until := time.Now().Add(wait); time.Now().Before(until); {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-s.superseded:
+			return
+		case <-time.After(min(time.Until(until), 50*time.Millisecond)):
 		}
-		if head := machine.Head(); head != nil && head.Status() != 200 || msg != nil && msg.Status() != 200 {
-			return errors.New("discovery answered with an error")
+		d.mu.Lock()
+		stands := d.stands()
+		d.mu.Unlock()
+		if !stands {
+			return
 		}
-		switch {
-		case broken != nil:
-			return broken
-		case lists.Err != nil:
-			return lists.Err
-		case msg != nil || used < n:
-			return io.EOF
-		case err != nil:
-			return err
+	}
+}
+
+// stands tells whether any watch stands. d.mu is held.
+func (d *Directory) stands() bool {
+	for _, s := range d.subscriptions {
+		if s.standing {
+			return true
 		}
-		conn.SetReadDeadline(time.Now().Add(silence))
 	}
+	return false
 }
 
-// line takes one list of a watch. Bad data are the watch's end: the last list is kept, and the next watch asks again
-// from there.
-func (d *Directory) line(address string, text []byte) error {
+// ended takes the end of a call, and gives the pause before the next one.
+func (d *Directory) ended(s *subscription, end callEnd, pace *backoff) time.Duration {
+	d.mu.Lock()
+	s.standing, s.waiting = false, false
+	latest := d.latest() == s
+	switch {
+	case end.kind == callEnded:
+		d.lease.Ended(d.Clock.Now())
+	case !latest:
+	case end.kind == callUnreachable, end.kind == callUnanswered:
+		d.lease.Unreachable(d.Clock.Now() - time.Since(end.began))
+	case end.kind == callRefused:
+		d.lease.Refused()
+	}
+	from, _ := d.renewed()
+	pause := pace.next(end, from-d.Clock.Now(), d.rng)
+	heard := d.stands()
+	d.mu.Unlock()
+	d.Log.Warn("the watch of discovery has ended", "address", s.address, "since", s.since, "kind", end.kind.String(), "error", end.err,
+		"stood", end.stood.Round(time.Millisecond), "next", pause.Round(time.Millisecond), "superseded", !latest)
+	if !heard {
+		d.Loop.Lost()
+	}
+	return pause
+}
+
+// renewed hands on what the lease says. d.mu is held.
+func (d *Directory) renewed() (from, to time.Duration) {
+	from, to = d.lease.Hold()
+	if d.OnHold != nil {
+		d.OnHold(from, to)
+	}
+	return from, to
+}
+
+// heard takes a sign of life of a subscription's watch.
+func (d *Directory) heard(s *subscription) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s.ctx.Err() == nil {
+		d.lease.Heard(d.Clock.Now(), s.generation)
+		d.renewed()
+	}
+}
+
+// line takes one list of a watch. Bad data are the watch's end: the last list is kept, and the next watch asks again from
+// there.
+func (d *Directory) line(s *subscription, text []byte) error {
 	list, err := protocol.ReadEndpointList(text)
 	if err != nil {
 		return err
@@ -236,20 +310,32 @@
 	if list.Whole {
 		kind = balance.Full
 	}
-	d.mu.Lock()
-	moved := d.address != address
-	if !moved {
-		d.since = list.Index
-	}
-	d.mu.Unlock()
-	if moved { // while this came: the new address is asked from its own beginning
-		return errMoved
+	d.telling.Lock()
+	defer d.telling.Unlock()
+	if err := d.adopt(s, list.Index); err != nil {
+		return err
 	}
 	d.Loop.Pool(kind, list.Index, Members(list))
+	d.heard(s) // after the list is on its way: what is held back goes by it
 	return nil
 }
 
-var errMoved = errors.New("discovery is watched elsewhere")
+// adopt makes the subscription the source of lists, and gives up those before it.
+func (d *Directory) adopt(s *subscription, index int64) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := s.ctx.Err(); err != nil { // a later one has told meanwhile
+		return context.Cause(s.ctx)
+	}
+	s.since, s.standing, s.waiting = index, true, false
+	for d.subscriptions[0] != s {
+		d.remove(d.subscriptions[0], errMoved)
+	}
+	if d.latest() == s {
+		d.movedAt = time.Time{}
+	}
+	return nil
+}
 
 // Members turns an endpoint list into routing's words.
 func Members(list protocol.EndpointList) []routing.Member {
--- a/internal/transport/discovery_test.go
+++ b/internal/transport/discovery_test.go
@@ -299,9 +299,6 @@
 	d.Loop = told{pool: func(int64) {
 		once.Do(func() {
 			d.Move(next)
-			d.mu.Lock()
-			d.moved = time.Now().Add(-time.Hour) // it has been tried for long enough
-			d.mu.Unlock()
 		})
 	}, lost: func() { ready.Store(true); d.Follow(77) }} // as the module does, from the last version that it knows
 	d.Follow(1)
--- /dev/null
+++ b/internal/transport/discoverycall.go
@@ -0,0 +1,186 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	"kitewood/internal/protocol"
+)
+
+// callKind tells how a call to discovery, or the watch that it became, has ended.
+type callKind uint8
+
+// The kinds.
+const (
+	callUnreachable callKind = iota // no connection, or it broke before an answer, or the call failed after its whole wait
+	callUnanswered                  // taken, and not answered within the time that discovery gives a call
+	callRefused                     // discovery is there, and takes no more calls
+	callUnreadable                  // what came is no endpoint list
+	callSilent                      // the watch missed its beats
+	callBroken                      // the watch broke
+	callEnded                       // the watch was ended by discovery
+	callLocal                       // this machine could not make the call
+)
+
+func (k callKind) String() string {
+	return [...]string{"unreachable", "unanswered", "refused", "unreadable", "silent", "broken", "ended in order", "local failure"}[k]
+}
+
+// callEnd is the end of a call.
+type callEnd struct {
+	kind  callKind
+	err   error
+	began time.Time
+	stood time.Duration // from its begin to its end
+}
+
+const (
+	beat     = 2 * time.Second         // discovery sends an empty line this often while nothing changes
+	silence  = beat + 3*time.Second/4  // after this long without a line a watch is dead: a beat is missing
+	comingUp = 1200 * time.Millisecond // a connection that has not come up by then will not
+	opening  = 3200 * time.Millisecond // a watch that has not begun by then will not: discovery gives a call 3 s
+
+	// A call that fails after so long has waited for all the time that discovery gives it, as those do that meet a discovery
+	// which is down; one that is refused sooner has met a queue that is full.
+	waitedOut = 2500 * time.Millisecond
+)
+
+// statusError is an answer of discovery that is no watch.
+type statusError int
+
+func (e statusError) Error() string { return fmt.Sprintf("discovery answered with status %d", int(e)) }
+
+// call makes one call for a subscription and runs the watch that it becomes to its end.
+func (d *Directory) call(s *subscription) (end callEnd) {
+	began := time.Now()
+	w := &discoveryWatch{d: d, s: s}
+	defer func() {
+		if p := recover(); p != nil {
+			end.kind, end.err = callUnreadable, fmt.Errorf("panic: %v", p)
+		}
+		end.began, end.stood = began, time.Since(began)
+	}()
+	d.mu.Lock()
+	d.calls++
+	w.number = d.calls
+	s.waiting = true
+	since := s.since
+	d.mu.Unlock()
+	d.Log.Info("discovery is asked", "call", w.number, "address", s.address, "since", since, "generation", s.generation)
+	err := w.run(s.ctx, s.address, since)
+	return callEnd{kind: w.kindOf(err, time.Since(began)), err: err}
+}
+
+// discoveryWatch is one call on its connection.
+type discoveryWatch struct {
+	d        *Directory
+	s        *subscription
+	number   int
+	dialed   bool
+	answered bool // discovery has begun to answer
+	watching bool // with 200
+}
+
+// run calls discovery at an address and reads until the end, which it returns.
+func (w *discoveryWatch) run(ctx context.Context, address string, since int64) error {
+	asked := time.Now()
+	dialer := net.Dialer{Timeout: comingUp, KeepAlive: -1}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	w.dialed = true
+	conn.SetDeadline(asked.Add(opening))
+	target := fmt.Sprintf("/registry/instances?follow=1&since=%d", since)
+	if _, err := conn.Write(protocol.GetText(address, target)); err != nil {
+		return err
+	}
+	lists := protocol.ListReader{Take: func(text []byte) error { return w.d.line(w.s, text) }}
+	machine := protocol.Machine{Answers: true, OnBody: lists.Add}
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := conn.Read(buf)
+		used, msg, malformed := machine.Feed(buf[:n])
+		head := machine.Head()
+		if head == nil {
+			head = msg
+		}
+		if head != nil && !w.answered {
+			w.noteAnswer(head.Status(), time.Since(asked))
+		}
+		switch {
+		case head != nil && head.Status() != 200:
+			return statusError(head.Status())
+		case malformed != nil:
+			return malformed
+		case lists.Err != nil:
+			return lists.Err
+		case msg != nil || used < n:
+			return io.EOF
+		case err != nil:
+			return err
+		}
+		if w.watching {
+			w.d.heard(w.s)
+		}
+		conn.SetReadDeadline(time.Now().Add(silence))
+	}
+}
+
+// noteAnswer takes the head of the answer.
+func (w *discoveryWatch) noteAnswer(status int, waited time.Duration) {
+	w.answered, w.watching = true, status == 200
+	w.d.Log.Info("discovery answers", "call", w.number, "status", status, "waited", waited.Round(time.Millisecond))
+}
+
+// kindOf tells what an error that ended the call after some time means.
+func (w *discoveryWatch) kindOf(err error, took time.Duration) callKind {
+	var status statusError
+	var netError net.Error
+	timedOut := errors.As(err, &netError) && netError.Timeout()
+	switch {
+	case !w.dialed && localFailure(err):
+		return callLocal
+	case !w.dialed:
+		return callUnreachable
+	case errors.As(err, &status) && took >= waitedOut:
+		return callUnreachable
+	case errors.As(err, &status):
+		return callRefused
+	case !w.answered && timedOut:
+		return callUnanswered
+	case !w.answered && isConnectionEnd(err):
+		return callUnreachable
+	case timedOut:
+		return callSilent
+	case errors.Is(err, io.EOF):
+		return callEnded
+	case isConnectionEnd(err):
+		return callBroken
+	}
+	return callUnreadable
+}
+
+// isConnectionEnd tells whether an error is the end of the connection, in whatever way the system reports it.
+func isConnectionEnd(err error) bool {
+	var op *net.OpError
+	return errors.Is(err, io.EOF) || errors.As(err, &op)
+}
+
+// localFailure tells whether a connection could not be asked for because this machine lacks something: that says nothing
+// of whom it was for.
+func localFailure(err error) bool {
+	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EAGAIN} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/transport/front_test.go
+++ b/internal/transport/front_test.go
@@ -254,12 +254,13 @@
 
 // Bad answers and bad data end a watch, and are not half believed.
 func TestWatch(t *testing.T) {
-	for _, answer := range []string{"HTTP/1.1 503 U\r\nContent-Length: 0\r\n\r\n", "",
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n{x}\n\r\n"} {
+	for answer, want := range map[string]callKind{"HTTP/1.1 503 U\r\nContent-Length: 0\r\n\r\n": callRefused, "": callUnreachable,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n{x}\n\r\n": callUnreadable} {
 		at := server(t, func(conn net.Conn) { head(conn); io.WriteString(conn, answer); conn.Close() })
 		d := NewDirectory(context.Background(), at, nil, quiet)
-		if err := d.watch(d.Context, at, 7); err == nil {
-			t.Errorf("%q ended without an error", answer)
+		d.prepare()
+		if end := d.call(d.latest()); end.err == nil || end.kind != want {
+			t.Errorf("%q ended as %v with %v, want %v", answer, end.kind, end.err, want)
 		}
 	}
 }
