Pace of refused calls: a refusal costs discovery work, so it is not asked again in a hurry

Change: refused calls go by the pace of calls that break, 0.3 to 0.9 s and then 0.6 to 1.9 s. Requests are held back for 10 s at most, not 5.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -33,7 +33,7 @@
 	margin = 170 * time.Millisecond
 	// mostHeld is how long requests are held back. A discovery that refuses all calls for longer is taken for one that is out
 	// of reach: refusing everything without end would be worse than the risk.
-	mostHeld = 5 * time.Second
+	mostHeld = 10 * time.Second
 )
 
 // Lease is the state of one subscription. The zero value has no rules and holds nothing back; see New.
--- a/internal/transport/backoff.go
+++ b/internal/transport/backoff.go
@@ -11,7 +11,7 @@
 	moved  bool      // a reload has named its address
 	began  time.Time // of the subscription
 	pause  time.Duration
-	failed int // calls in a row that found discovery out of reach
+	failed int // calls in a row that were refused or found discovery out of reach
 }
 
 const (
@@ -20,24 +20,21 @@
 	mostPushed = 200 * time.Millisecond // an agent beside the sidecar is asked by nobody else
 	settling   = 4 * time.Second        // after a reload
 	afterMiss  = 600 * time.Millisecond // after a watch that fell silent: all sidecars meet that together
-	firstBreak = 625 * time.Millisecond // after the first call that found discovery out of reach,
+
+	// After a call that was refused or broke. A refusal costs discovery work, too: fourteen sidecars that asked again every
+	// 0.4 s kept its queue full for ten seconds.
+	firstBreak = 625 * time.Millisecond
 	mostBreak  = 1250 * time.Millisecond
 	atOnce     = 100 * time.Millisecond // after a call that has waited for seconds already
 	stood      = time.Second            // a watch that lasted this long was no refusal
-
-	// While discovery is full each place that becomes free goes to whoever calls next; the less time is left of the lease the
-	// shorter the pauses.
-	leastFull = 150 * time.Millisecond
-	mostFull  = 600 * time.Millisecond
-	fullShare = 10 // of what is left of the lease
 )
 
-// next is the pause after a call has ended, while the lease still lasts for some time.
-func (b *backoff) next(end callEnd, left time.Duration, rng *rand.Rand) time.Duration {
+// next is the pause after a call has ended.
+func (b *backoff) next(end callEnd, rng *rand.Rand) time.Duration {
 	part := func(of time.Duration) time.Duration { return time.Duration(rng.Float64() * float64(of)) }
 	around := func(d time.Duration) time.Duration { return d/2 + part(d) }
 	waited := end.stood >= waitedOut
-	if end.kind != callUnreachable && end.kind != callUnanswered {
+	if end.kind != callUnreachable && end.kind != callUnanswered && end.kind != callRefused {
 		b.failed = 0
 	}
 	switch {
@@ -49,9 +46,7 @@
 		return part(afterMiss)
 	case end.kind == callEnded && end.stood > stood:
 		return part(atOnce)
-	case end.kind == callRefused:
-		return around(min(max(left/fullShare, leastFull), mostFull))
-	case b.moved && time.Since(b.began) < settling:
+	case b.moved && end.kind != callRefused && time.Since(b.began) < settling:
 		return around(b.grow(mostPause))
 	}
 	b.failed++
--- a/internal/transport/directory.go
+++ b/internal/transport/directory.go
@@ -268,8 +268,8 @@
 	case end.kind == callRefused:
 		d.lease.Refused()
 	}
-	from, _ := d.renewed()
-	pause := pace.next(end, from-d.Clock.Now(), d.rng)
+	d.renewed()
+	pause := pace.next(end, d.rng)
 	heard := d.stands()
 	d.mu.Unlock()
 	d.Log.Warn("the watch of discovery has ended", "address", s.address, "since", s.since, "kind", end.kind.String(), "error", end.err,
@@ -281,12 +281,10 @@
 }
 
 // renewed hands on what the lease says. d.mu is held.
-func (d *Directory) renewed() (from, to time.Duration) {
-	from, to = d.lease.Hold()
+func (d *Directory) renewed() {
 	if d.OnHold != nil {
-		d.OnHold(from, to)
+		d.OnHold(d.lease.Hold())
 	}
-	return from, to
 }
 
 // heard takes a sign of life of a subscription's watch.
