One guard for sending, repeating, closing and starting, with a check that counts violations

Change: internal/guard decides each of the four; whoever sends, sends again, closes or says that it is ready asks it. Attempts note when they began and what they told; a check that goes by the notes alone counts violations of eight invariants, logs them with the request's id and shows them by the admin socket, beside what was denied. A connection that would close over a request which was read answers it first.

--- a/internal/pools/pool.go
+++ b/internal/pools/pool.go
@@ -44,6 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
+	loop.UseGuard(s.guard)
 	p := &pool{name: conf.Name, conf: *conf, loop: loop}
 	p.ctx, p.cancel = context.WithCancel(s.ctx)
 	if conf.Members.Discovery != "" {
--- a/internal/pools/set.go
+++ b/internal/pools/set.go
@@ -13,6 +13,7 @@
 
 	"kitewood/internal/config"
 	"kitewood/internal/filewatch"
+	"kitewood/internal/guard"
 	"kitewood/internal/protocol"
 	"kitewood/internal/route"
 	"kitewood/internal/routing"
@@ -25,6 +26,7 @@
 	ctx    context.Context
 	clock  routing.Clock
 	limits *limits
+	guard  *guard.Guard
 
 	mu        sync.Mutex // held by Apply, and by those who look
 	file      *config.File
@@ -38,7 +40,7 @@
 
 // New returns a Set without pools. The context ends all of it at once.
 func New(ctx context.Context, log *slog.Logger) *Set {
-	s := &Set{log: log, ctx: ctx, clock: routing.NewClock(), listeners: map[string]net.Listener{}, pools: map[string]*pool{},
+	s := &Set{log: log, ctx: ctx, clock: routing.NewClock(), guard: guard.New(log), listeners: map[string]net.Listener{}, pools: map[string]*pool{},
 		retired: map[*pool]bool{}, last: map[string]*pool{}}
 	s.limits = newLimits(s.clock.Now, s.evict)
 	return s
@@ -108,6 +110,7 @@
 	find := directions(f, table, pools)
 	if s.front == nil {
 		s.front = transport.NewFront(s.clock, find, f.Budget(), s.log)
+		s.front.UseGuard(s.guard)
 	} else {
 		s.front.Lead(find)
 		s.front.Keep(f.Budget())
--- a/internal/pools/status.go
+++ b/internal/pools/status.go
@@ -20,7 +20,9 @@
 	Pools      []PoolStatus     `json:"pools"`
 	Listeners  []string         `json:"listeners"`
 
-	Closings map[string]uint64 `json:"closings"` // ends of clients' connections, by reason
+	Closings   map[string]uint64 `json:"closings"`   // ends of clients' connections, by reason
+	Violations map[string]uint64 `json:"violations"` // of invariants, by name: each is a defect
+	Denials    map[string]uint64 `json:"denials"`    // what was not done as it would have broken one
 }
 
 // Limit is one limit of the process.
@@ -75,6 +77,7 @@
 	all = append(all, slices.Collect(maps.Keys(s.retired))...)
 	out := Status{Name: s.file.Name, Goroutines: runtime.NumGoroutine(), Limits: map[string]Limit{},
 		Listeners: slices.Sorted(maps.Keys(s.listeners))}
+	out.Violations, out.Denials = s.guard.Violations(), s.guard.Denials()
 	if s.front != nil {
 		out.Closings = s.front.Closings()
 	}
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"kitewood/balance"
+	"kitewood/internal/guard"
 	"kitewood/internal/pools"
 	"kitewood/internal/routing"
 	"kitewood/internal/transport"
@@ -51,6 +52,8 @@
 	if err != nil {
 		return err
 	}
+	invariants := guard.New(log)
+	loop.UseGuard(invariants)
 	directory := transport.NewDirectory(ctx, c.Discovery, loop, log)
 	directory.Pushed, directory.Seed, directory.Grace = !c.Module.Ask, c.Module.Seed, c.Module.Rules.DrainGrace
 	directory.Clock, directory.OnHold = clock, loop.Hold
@@ -60,6 +63,8 @@
 	}
 	front := transport.NewFront(clock, transport.OnePool(service, c.Classes), budget, log)
 
+	front.UseGuard(invariants)
+
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
@@ -88,7 +93,7 @@
 	}
 	front.Stop(ctx, min(longest, stopLongest)+stopMargin, ln)
 	if v, ok := loop.View(viewWithin); ok {
-		log.Info("counts", "requests", &v.Metrics, "connections", front.Closings())
+		log.Info("counts", "requests", &v.Metrics, "connections", front.Closings(), "violations", invariants.Violations(), "denials", invariants.Denials())
 	}
 	log.Info("stopped", "owed", loop.Owed())
 	return nil
--- a/internal/routing/host.go
+++ b/internal/routing/host.go
@@ -47,7 +47,7 @@
 		now := h.Now()
 		h.balancer.Probed(now, server, now-began, status, r.Load)
 	}
-	if d := h.pool.byID[server]; d != nil {
+	if d := h.pool.byID[server]; d != nil && !h.hold.holds(began) {
 		h.carrier.Probe(d, func(r Result) { h.post(func() { report(r) }) })
 		return
 	}
--- a/internal/routing/interfaces.go
+++ b/internal/routing/interfaces.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"kitewood/balance"
+	"kitewood/internal/guard"
 )
 
 // Operation is a client's request on its way through the sidecar.
@@ -31,6 +32,7 @@
 	id       balance.RequestID
 	came     time.Duration
 	ended    atomic.Bool   // the final answer was given, or nobody waits for it
+	overAt   atomic.Int64  // when that was, or the client was seen to have left; 0 for not yet
 	ranAt    time.Duration // when the first attempt that may have run was sent, 0 for none
 	attempts []*Attempt
 	out      int // attempts without an outcome
@@ -58,12 +60,13 @@
 
 // Destination is a server that the endpoint list has named.
 type Destination struct {
-	ID      balance.ServerID
-	Name    string
-	Address string
-	Zone    string
-	closed  atomic.Bool   // discovery says that it drains or is gone
-	since   time.Duration // Unix time of its last start; 0 for long ago
+	ID       balance.ServerID
+	Name     string
+	Address  string
+	Zone     string
+	closed   atomic.Bool   // discovery says that it drains or is gone
+	closedAt time.Duration // when that was taken, 0 while it is open; of the Loop
+	since    time.Duration // Unix time of its last start; 0 for long ago
 }
 
 // Closed tells whether the destination takes nothing new. Any goroutine may ask.
@@ -77,12 +80,19 @@
 	Until       time.Duration   // it must have begun by then, 0 for no such time: its window for repeats ends
 	Context     context.Context // done when the attempt is called off
 	clock       Clock
-	hold        *holdWindow // nil for none
+	hold        *holdWindow
 	number      int
 	sent        time.Duration
 	cancel      context.CancelFunc
 	over        bool
 	opened      atomic.Bool
+
+	guard    *guard.Guard
+	status   balance.Status // of its end
+	endedAt  time.Duration  // 0 while it is out
+	began    atomic.Int64   // before its first byte, 0 for not begun
+	told     atomic.Int64   // the time that its endpoint was told
+	heldThen atomic.Bool    // the list's lease had run out when it began
 }
 
 // Opened notes that a connection was opened for the attempt. Any goroutine may call it.
@@ -90,12 +100,27 @@
 
 // Stale guards the moment before the first byte: time may have passed since the decision, in which the destination
 // began to drain, the operation ended, the client left, or the time ran out in which a repeat would be dropped.
-func (a *Attempt) Stale() bool { return a.late() || a.Op.Left != nil && a.Op.Left() }
+func (a *Attempt) Stale() bool {
+	s := a.facts()
+	s.ClientLeft = a.Op.Left != nil && a.Op.Left()
+	return a.guard.Denied(guard.MaySend(s))
+}
+
+// facts are what the guard looks at, but for a look at the client's connection.
+func (a *Attempt) facts() guard.Sending {
+	now := a.clock.Now()
+	return guard.Sending{Now: now, EndpointClosed: a.Destination.closed.Load(), ListTooOld: a.hold.holds(now), Answered: a.Op.ended.Load(),
+		Cancelled: a.Context.Err() != nil, Deadline: a.Deadline, Window: a.Until}
+}
 
-// late is Stale without a look at the client's connection.
-func (a *Attempt) late() bool {
-	return a.Destination.closed.Load() || a.hold != nil && a.hold.holds(a.clock.Now()) || a.Context.Err() != nil || a.Op.ended.Load() || a.Left() <= 0 ||
-		a.Until > 0 && a.clock.Now() >= a.Until
+// Begin notes that the first byte is about to be written, and returns the time that the endpoint is to be told.
+func (a *Attempt) Begin() (left time.Duration) {
+	now := a.clock.Now()
+	left = a.Deadline - now
+	a.told.Store(int64(left))
+	a.heldThen.Store(a.hold.holds(now))
+	a.began.Store(int64(now))
+	return left
 }
 
 // Left is the time that the attempt still has.
--- a/internal/routing/loop.go
+++ b/internal/routing/loop.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"kitewood/balance"
+	"kitewood/internal/guard"
 )
 
 // Loop owns the Balancer. All its methods but New, Run and those that say so run on its one goroutine.
@@ -34,6 +35,7 @@
 	named   atomic.Int64 // began of the event that was last logged as stuck
 
 	metrics Metrics
+	guard   *guard.Guard
 
 	lastID balance.RequestID
 	ops    map[balance.RequestID]*Operation
@@ -49,13 +51,16 @@
 
 // New returns a Loop that does not run yet, or an error if the module does not take its settings.
 func New(set balance.Settings, names Names, clock Clock, log *slog.Logger) (*Loop, error) {
-	l := &Loop{Clock: clock, set: set, names: names, log: log, events: make(chan func(), 256),
+	l := &Loop{Clock: clock, guard: guard.New(log), set: set, names: names, log: log, events: make(chan func(), 256),
 		done: make(chan struct{}), ops: map[balance.RequestID]*Operation{}, keys: map[string]*Operation{}, pool: newPool()}
 	var err error
 	l.balancer, err = balance.New(set, host{l}, l.Now())
 	return l, err
 }
 
+// UseGuard has the Loop ask and tell the guard of its process. It is called before Run.
+func (l *Loop) UseGuard(g *guard.Guard) { l.guard = g }
+
 // Notify has a function called after each event that may have changed something, on the Loop's goroutine; it must not block. It is set before Run.
 func (l *Loop) Notify(changed func()) { l.changed = changed }
 
--- a/internal/routing/operation.go
+++ b/internal/routing/operation.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"kitewood/balance"
+	"kitewood/internal/guard"
 )
 
 // Submit takes an operation, from any goroutine. Its Done gets one answer, unless Abandon comes first. A Loop that has
@@ -58,6 +59,7 @@
 
 // Abandon says that the client of an operation has left, from any goroutine. Its Done may still be called.
 func (l *Loop) Abandon(op *Operation) {
+	op.overAt.CompareAndSwap(0, int64(l.Now()))
 	l.hand(func() { l.abandon(op) }) // the Loop may be behind, and whoever calls owes a client an answer
 }
 
@@ -95,6 +97,7 @@
 
 func (l *Loop) end(op *Operation) {
 	op.ended.Store(true)
+	op.overAt.CompareAndSwap(0, int64(l.Now()))
 	l.owed.Add(-1)
 }
 
@@ -124,16 +127,16 @@
 	if timeout > 0 {
 		until = min(until, now+timeout)
 	}
-	a := &Attempt{Op: op, Destination: d, Deadline: until, clock: l.Clock, hold: &l.hold, number: len(op.attempts), sent: now}
+	a := &Attempt{Op: op, Destination: d, Deadline: until, clock: l.Clock, hold: &l.hold, guard: l.guard, number: len(op.attempts), sent: now}
 	a.Context, a.cancel = context.WithCancel(context.Background())
 	if c := &l.set.Classes[op.Class]; c.Effect == balance.Keyed && op.ranAt > 0 {
 		a.Until = op.ranAt + c.Window - onTheWay
 	}
-	busy := op.out > 0 && !l.set.Limits.SecondCopies
+	repeat := l.guard.Denied(guard.MayRepeat(l.repeating(op)))
 	l.metrics.attempt(op)
 	op.attempts = append(op.attempts, a)
 	op.out++
-	if d == nil || op.ended.Load() || busy || a.late() {
+	if d == nil || repeat || l.guard.Denied(guard.MaySend(a.facts())) {
 		l.pending = append(l.pending, func() { l.finish(a, server, Result{Err: &AttemptError{Waiting, errNotSent}}) })
 		return
 	}
@@ -157,12 +160,14 @@
 	a.over = true
 	a.cancel()
 	op, now := a.Op, l.Now()
+	a.endedAt = now
 	op.out--
 	status := r.Status
 	if r.Err != nil {
 		status = r.Err.Status()
 	}
-	op.lastStatus = status
+	a.status, op.lastStatus = status, status
+	l.check(a)
 	l.metrics.Outcomes[status]++
 	l.traceAttempt(a, server, status, r, now)
 	if mayHaveRun(status) && (op.ranAt == 0 || a.sent < op.ranAt) {
@@ -177,6 +182,36 @@
 	l.forget(op)
 }
 
+// repeating are the facts about a further attempt of an operation.
+func (l *Loop) repeating(op *Operation) guard.Repeating {
+	return guard.Repeating{Attempts: len(op.attempts), Out: op.out, MayHaveRun: op.ranAt > 0, Unsafe: l.unsafe(op), Parallel: l.set.Limits.SecondCopies}
+}
+
+func (l *Loop) unsafe(op *Operation) bool { return l.set.Classes[op.Class].Effect == balance.Unsafe }
+
+// drainSlack is what the platform's protocol adds to each time limit on sockets.
+const drainSlack = 50 * time.Millisecond
+
+// check has the guard look at what an attempt that has ended has noted.
+func (l *Loop) check(a *Attempt) {
+	if a.began.Load() == 0 {
+		return
+	}
+	op := a.Op
+	b := guard.Began{ID: op.Key, Endpoint: a.Destination.Name, At: time.Duration(a.began.Load()), TimeTold: time.Duration(a.told.Load()),
+		Deadline: op.Deadline, ClosedAt: a.Destination.closedAt, Grace: l.set.Rules.DrainGrace + drainSlack,
+		OverAt: time.Duration(op.overAt.Load()), Held: a.heldThen.Load(), Unsafe: l.unsafe(op), Parallel: l.set.Limits.SecondCopies}
+	for _, earlier := range op.attempts[:a.number] {
+		if earlier.began.Load() == 0 {
+			continue
+		}
+		out := !earlier.over || earlier.endedAt > b.At
+		b.EarlierOut = b.EarlierOut || out
+		b.EarlierMayRun = b.EarlierMayRun || !earlier.over || mayHaveRun(earlier.status)
+	}
+	l.guard.Check(b)
+}
+
 // mayHaveRun tells whether an attempt that ended so may have run.
 func mayHaveRun(s balance.Status) bool {
 	return s != balance.Moot && s != balance.ConnectFailed && s != balance.FullUp
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -85,6 +85,7 @@
 		if m.Address != d.Address && m.Address != "" {
 			if d.Address != "" { // it has moved: a new value, for attempts that are out hold the old one
 				l.carrier.CloseIdle(d)
+				d.closedAt = l.Now()
 				d = l.pool.replace(d)
 			}
 			d.Address = m.Address
@@ -122,9 +123,14 @@
 // closeTo guards the drain rule: attempts that are decided but not yet on their way look at the flag. It tells whether the
 // destination has just been closed.
 func (l *Loop) closeTo(d *Destination, closed bool) bool {
-	if d.closed.Swap(closed) == closed || !closed {
+	if d.closed.Swap(closed) == closed {
 		return false
 	}
+	d.closedAt = 0
+	if !closed {
+		return false
+	}
+	d.closedAt = l.Now()
 	l.carrier.CloseIdle(d)
 	return true
 }
--- a/internal/transport/closing.go
+++ b/internal/transport/closing.go
@@ -4,6 +4,9 @@
 	"context"
 	"log/slog"
 	"sync/atomic"
+
+	"kitewood/internal/guard"
+	"kitewood/internal/protocol"
 )
 
 // closeReason tells why a client's connection has ended.
@@ -53,6 +56,17 @@
 	}
 }
 
+// settleDebt answers a request that would be closed over: whatever led here, its client waits.
+func (c *frontConn) settleDebt() {
+	left := c.reason == closedByClient || c.reason == closedMidRequest || c.reason == closedWrite
+	if !c.front.guard.Denied(guard.MayClose(guard.Closing{Unanswered: c.owes, ClientLeft: left})) {
+		return
+	}
+	if c.reply(protocol.Reply{Status: 502, Why: "failed"}, true); c.owes {
+		c.front.guard.Violated(guard.Answer, "id", c.lastID, "reason", c.reason.String())
+	}
+}
+
 // noteEnd counts the end of the connection and logs it.
 func (c *frontConn) noteEnd() {
 	c.front.closings[c.reason].Add(1)
--- a/internal/transport/destinations.go
+++ b/internal/transport/destinations.go
@@ -63,7 +63,7 @@
 		}
 		u.run(a.Context, a.Destination, t, stale, func() net.Buffers {
 			m := a.Op.Payload.(*protocol.Message)
-			return net.Buffers{protocol.RequestHead(m, a.Left(), word), m.Body}
+			return net.Buffers{protocol.RequestHead(m, a.Begin(), word), m.Body}
 		})
 	}()
 }
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"kitewood/internal/guard"
 	"kitewood/internal/protocol"
 	"kitewood/internal/routing"
 )
@@ -25,6 +26,8 @@
 	budget Budget
 
 	closings closings
+	guard    *guard.Guard
+	serving  atomic.Bool  // it has been given a listener
 	draining atomic.Bool  // no longer ready
 	closing  atomic.Bool  // connections end with their next answer
 	crowded  atomic.Bool  // somebody waits for a descriptor
@@ -88,12 +91,15 @@
 
 // NewFront returns a Front that keeps to its part of a budget.
 func NewFront(clock routing.Clock, find Directions, budget Budget, log *slog.Logger) *Front {
-	f := &Front{clock: clock, budget: budget, log: log, conns: map[*frontConn]struct{}{}}
+	f := &Front{clock: clock, budget: budget, log: log, guard: guard.New(log), conns: map[*frontConn]struct{}{}}
 	f.changed = sync.NewCond(&f.mu)
 	f.Lead(find)
 	return f
 }
 
+// UseGuard has the Front ask and tell the guard of its process. It is called before Serve.
+func (f *Front) UseGuard(g *guard.Guard) { f.guard = g }
+
 // Lead has requests that come from now on go by other directions.
 func (f *Front) Lead(find Directions) { f.find.Store(&find) }
 
@@ -112,6 +118,7 @@
 func (f *Front) Serve(ln net.Listener) {
 	f.mu.Lock()
 	f.accepts++
+	f.serving.Store(true)
 	f.mu.Unlock()
 	defer func() {
 		f.mu.Lock()
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"kitewood/internal/guard"
 	"kitewood/internal/protocol"
 	"kitewood/internal/routing"
 )
@@ -45,6 +46,7 @@
 
 	reason closeReason // why it ends
 	lastID string      // of the last request
+	owes   bool        // a request was read whole, and its answer is not written
 
 	op     *routing.Operation // out, nil for none
 	loop   *routing.Loop      // that op is out in
@@ -236,13 +238,14 @@
 
 // handle answers one request and tells whether the connection stays.
 func (c *frontConn) handle(m *protocol.Message, buf []byte) bool {
+	c.owes = true
 	last := func() bool { return m.Close || c.beyond || c.ending || c.front.closing.Load() }
 	if path, _, _ := strings.Cut(m.Start[1], "?"); path == "/health/ready" {
 		r := protocol.Reply{Status: 200, Why: "ready"}
 		if m.Start[0] != "GET" {
 			r = protocol.Reply{Status: 405, Allow: "GET", Why: "this path wants GET"}
-		} else if c.front.draining.Load() {
-			r = protocol.Reply{Status: 503, Why: "stopping"}
+		} else if d := guard.MayStart(guard.Starting{Serving: c.front.serving.Load(), Stopping: c.front.draining.Load()}); d != nil {
+			r = protocol.Reply{Status: 503, Why: d.Why}
 		}
 		return c.reply(r, last())
 	}
@@ -377,6 +380,7 @@
 		c.because(closedWrite)
 		return false
 	}
+	c.owes = false
 	if last {
 		c.because(closedLast)
 		c.linger()
@@ -427,6 +431,7 @@
 		}
 		c.reply(protocol.Reply{Status: 500, Why: "failed"}, true)
 	}
+	c.settleDebt()
 	c.noteEnd()
 	c.conn.Close()
 	c.front.mu.Lock()
