Answer every request that was read before a connection ends by the sidecar's own wish

Cause: a sidecar that stops, or ends a connection to make room, closed it behind the answer to the request that was out; requests that the client had sent behind it and that were read already got none. Change: the connection's last answer is the one to the last request that was read whole. A client that floods, or asks for the close itself, is ended as before. Result: TestRequestsReadAheadAreAnsweredAtTheEnd, failing before; all tests of transport pass.

--- a/internal/transport/crossing_test.go
+++ b/internal/transport/crossing_test.go
@@ -626,3 +626,36 @@
 		time.Sleep(time.Duration(5+2*i) * time.Millisecond)
 	}
 }
+
+// A client has sent further requests when the sidecar stops, and they have been read: all of them are answered before the
+// connection ends, as nobody else can answer what was read here.
+func TestRequestsReadAheadAreAnsweredAtTheEnd(t *testing.T) {
+	let := make(chan bool)
+	came := make(chan bool, 9)
+	f, ln := sidecar(t, 4, server(t, func(conn net.Conn) {
+		for text := head(conn); text != ""; text = head(conn) {
+			came <- true
+			<-let
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}))
+	c, r := dial(t, ln)
+	const requests = 3
+	for i := range requests {
+		io.WriteString(c, strings.Replace(look, "Id: 1", fmt.Sprint("Id: ", i), 1))
+	}
+	<-came
+	time.Sleep(20 * time.Millisecond) // the others are read
+	f.draining.Store(true)
+	f.until.Store(int64(f.clock.Now() + 2*time.Second))
+	f.closing.Store(true)
+	close(let)
+	for i := range requests {
+		if status, _ := answer(t, r); status != "200" {
+			t.Errorf("request %d was answered %s", i, status)
+		}
+	}
+	if n, err := r.ReadByte(); err != io.EOF {
+		t.Errorf("behind the last answer came %q, %v", n, err)
+	}
+}
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -38,6 +38,7 @@
 	reads   []reading // when that was read, and the bytes fed last
 	kept    int       // bytes read so far
 	ending  bool      // it ends with the answer to what has been read, or now if that is nothing
+	flooded bool      // more came than is kept: it ends with the next answer
 
 	stage stage     // under front.mu, as are since and asked
 	since time.Time // the stage, or the request that is coming, began then
@@ -175,7 +176,7 @@
 // to that: the connection ends with the next one. Reading stops at nothing, or its leaving would not be seen.
 func (c *frontConn) keep(p []byte) {
 	if len(c.ahead)+len(p) > maxAhead {
-		c.ending = true
+		c.ending, c.flooded = true, true
 		return
 	}
 	if len(p) == 0 {
@@ -236,10 +237,13 @@
 	return msg, err
 }
 
+// endsSoon tells whether the connection is to end once what has been read is answered.
+func (c *frontConn) endsSoon() bool { return c.beyond || c.ending || c.front.closing.Load() }
+
 // handle answers one request and tells whether the connection stays.
 func (c *frontConn) handle(m *protocol.Message, buf []byte) bool {
 	c.owes = true
-	last := func() bool { return m.Close || c.beyond || c.ending || c.front.closing.Load() }
+	last := func() bool { return m.Close || c.flooded || c.endsSoon() && len(c.ahead) == 0 }
 	if path, _, _ := strings.Cut(m.Start[1], "?"); path == "/health/ready" {
 		r := protocol.Reply{Status: 200, Why: "ready"}
 		if m.Start[0] != "GET" {
@@ -256,7 +260,7 @@
 		return c.reply(protocol.Reply{Status: e.Status, Why: e.Why, Allow: e.Allow}, last())
 	}
 	if c.beyond {
-		return c.reply(protocol.Reply{Status: 503, Why: "busy: too many connections"}, true)
+		return c.reply(protocol.Reply{Status: 503, Why: "busy: too many connections"}, last())
 	}
 	return c.operate(m, to, figures, buf, last)
 }
