Reload reads a bad configuration again; accept that fails is paced and logged once

Cause: a file that was half written when SIGHUP came was refused and never read again, so the sidecar stayed with a discovery that was about to go. Accept that fails was tried every 10 ms with a line each. Change: a bad configuration is read again for about 9 s, and its refusal logged when it changes.

--- a/cmd/kitewood/crossing_test.go
+++ b/cmd/kitewood/crossing_test.go
@@ -111,6 +111,32 @@
 	}
 }
 
+// SIGHUP comes while the configuration is half written: the file is read again until it is whole, without another signal, and
+// once it is good its discovery is watched.
+func TestSIGHUPOverAHalfWrittenFile(t *testing.T) {
+	path, listen := filepath.Join(t.TempDir(), "config.json"), testkit.Address(t)
+	list := `{"index":1,"snapshot":true,"endpoints":[]}`
+	addresses := []string{testkit.Address(t), testkit.Address(t)}
+	first, next := watched(t, addresses[0], list), watched(t, addresses[1], list)
+	write(t, path, configured(listen, addresses[0], 64, "ask"))
+	c, log := launch(t, path, 0)
+	<-first
+	whole := configured(listen, addresses[1], 64, "ask")
+	write(t, path, whole[:len(whole)/2])
+	c.Process.Signal(syscall.SIGHUP)
+	testkit.Until(t, "the half file is refused", func() bool { return log.Count("is not taken") > 0 })
+	time.Sleep(300 * time.Millisecond)
+	write(t, path, whole)
+	select {
+	case <-next:
+	case <-time.After(10 * time.Second):
+		t.Fatalf("the second discovery is not asked; %s", log)
+	}
+	if n := log.Count("is not taken"); n != 1 {
+		t.Errorf("the refusal is logged %d times", n)
+	}
+}
+
 // Clients that ask nothing hold all the descriptors that there are, and come again for each that is closed, while discovery
 // is down. When it is back it is asked within 6 s, the instance that it names is reached, and a client that comes then is
 // served.
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -106,8 +106,34 @@
 	return signals
 }
 
+// A configuration that is bad at SIGHUP may be half written: it is read again after these pauses, until it is good.
+const (
+	firstReread = 100 * time.Millisecond // doubled each time,
+	mostReread  = time.Second            // up to this
+	rereads     = 12                     // about 9 s in all
+)
+
 // untilStopped waits for the signal to stop, and reads the configuration again at each SIGHUP.
 func untilStopped(ctx context.Context, signals chan os.Signal, log *slog.Logger, owed func() int, reload func() error) {
+	again := time.NewTimer(time.Hour)
+	defer again.Stop()
+	pause, left, last := firstReread, 0, ""
+	try := func() {
+		err := reload()
+		if err == nil {
+			left = 0
+			return
+		}
+		// A file that is half written or wrong must not take a sidecar down that serves.
+		if text := yamlfile.OneLine(err); text != last {
+			last = text
+			log.Error("the configuration is not taken, the old one stays", "error", text, "reread", left > 0)
+		}
+		if left > 0 {
+			again.Reset(pause)
+			pause = min(2*pause, mostReread)
+		}
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -117,9 +143,13 @@
 				log.Info("stopping", "signal", s.String(), "owed", owed())
 				return
 			}
-			if err := reload(); err != nil {
-				// A file that is half written or wrong must not take a sidecar down that serves.
-				log.Error("the configuration is not taken, the old one stays", "error", yamlfile.OneLine(err))
+			pause, left, last = firstReread, rereads, ""
+			again.Stop()
+			try()
+		case <-again.C:
+			if left > 0 {
+				left--
+				try()
 			}
 		}
 	}
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -126,6 +126,7 @@
 		f.changed.Broadcast()
 		f.mu.Unlock()
 	}()
+	var failing acceptFailure
 	for {
 		f.room()
 		if f.closing.Load() {
@@ -136,10 +137,10 @@
 			return
 		}
 		if err != nil { // a lack of descriptors, say: what is being served goes on
-			f.log.Error("accept failed", "error", err)
-			time.Sleep(10 * time.Millisecond)
+			failing.failed(err, f.log)
 			continue
 		}
+		failing.over(f.log)
 		go f.enter(conn).serve()
 	}
 }
