A pool whose settings change goes on with the list of the one before it

Cause: the same class as the incident, at a hand-over: the pool that worked was retired when its successor had no list yet. While discovery said nothing every request was refused (20 of 20 in the test). Change: the new pool starts with the old one's list, drains included, and with its age. Result: TestChangedPoolKeepsItsList, failing before; tests of pools, routing and transport pass.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -55,6 +55,9 @@
 // New returns a Lease for a list that a process has from its start on.
 func New(rules Rules, now time.Duration) *Lease { return &Lease{rules: rules, confirmed: now} }
 
+// Confirmed is when the list was last known to be current, or discovery to be out of reach.
+func (l *Lease) Confirmed() time.Duration { return l.confirmed }
+
 // Heard takes word from the discovery of a generation: a list or a sign of life of its watch.
 func (l *Lease) Heard(now time.Duration, generation int) {
 	l.confirmed, l.ended = max(l.confirmed, now), false
--- a/internal/pools/pool.go
+++ b/internal/pools/pool.go
@@ -22,6 +22,7 @@
 	ctx          context.Context
 	cancel       context.CancelFunc
 	loop         *routing.Loop
+	log          *slog.Logger
 	destinations *transport.Destinations
 	watch        routing.Directory
 	discovery    *transport.Directory // nil where the list is a file
@@ -45,7 +46,7 @@
 		return nil, err
 	}
 	loop.UseGuard(s.guard)
-	p := &pool{name: conf.Name, conf: *conf, loop: loop}
+	p := &pool{name: conf.Name, conf: *conf, loop: loop, log: log}
 	p.ctx, p.cancel = context.WithCancel(s.ctx)
 	if conf.Members.Discovery != "" {
 		p.discovery = transport.NewDirectory(p.ctx, conf.Members.Discovery, loop, log)
@@ -91,6 +92,19 @@
 	return listfile.Open(ctx, s.watcher, path, loop, log)
 }
 
+// succeed has the pool take the place of another. Where both ask discovery it goes on with the list that the other had, until
+// discovery tells it one.
+func (p *pool) succeed(old *pool) {
+	p.loop.Succeed(old.loop)
+	if p.discovery == nil || old.discovery == nil {
+		return
+	}
+	p.discovery.Succeed(old.discovery)
+	if !p.loop.Inherit(old.loop, viewWithin) {
+		p.log.Warn("the list of the pool before is not known: its loop does not answer")
+	}
+}
+
 // run starts the pool's Loop.
 func (p *pool) run() { go p.loop.Run(p.ctx, p.destinations, p.watch) }
 
--- a/internal/pools/pools_test.go
+++ b/internal/pools/pools_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -284,3 +285,36 @@
 	cancel()
 	testkit.Until(t, "the socket is closed", func() bool { _, err := Ask(path); return err != nil })
 }
+
+// A pool whose settings change while discovery says nothing goes on with the list that its predecessor had: what was ready is
+// sent to, and what drains is not.
+func TestChangedPoolKeepsItsList(t *testing.T) {
+	a, gone := serve(t, "a", nil), serve(t, "gone", nil)
+	var silent atomic.Bool
+	calls := make(chan bool, 99)
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls <- true; !silent.Load() {
+			one := `{"name":%q,"address":%q,"zone":"","type":"","group":0,"status":%q,"weight":1,"since_ms":0}`
+			fmt.Fprintf(w, `{"index":1,"snapshot":true,"endpoints":[`+one+","+one+"]}\n", "a", a.address, "Ready", "gone", gone.address, "Terminating")
+			w.(http.Flusher).Flush()
+		}
+		<-r.Context().Done()
+	}))
+	t.Cleanup(func() { discovery.CloseClientConnections(); discovery.Close() })
+	text := func(deadline string) string {
+		return fmt.Sprintf("pools:\n  - {name: a, members: {discovery: %q}, "+class+"}\nroutes: [{path: /, pool: a}]\n",
+			discovery.Listener.Addr(), deadline)
+	}
+	p := start(t, nil, text("2s"))
+	testkit.Until(t, "the list is there", func() bool { return len(p.Status().Pools[0].Destinations) == 2 })
+	silent.Store(true)
+	if err := p.take(text("3s")); err != nil {
+		t.Fatal(err)
+	}
+	for range 20 {
+		p.want("x", "/", 200, "a")
+	}
+	if n := gone.served.Load(); n > 0 {
+		t.Errorf("%d requests went to what drains", n)
+	}
+}
--- a/internal/pools/set.go
+++ b/internal/pools/set.go
@@ -99,7 +99,7 @@
 				old = s.last[p.name]
 			}
 			if old != nil {
-				p.loop.Succeed(old.loop)
+				p.succeed(old)
 			}
 			p.run()
 		}
--- a/internal/routing/interfaces.go
+++ b/internal/routing/interfaces.go
@@ -67,6 +67,7 @@
 	closed   atomic.Bool   // discovery says that it drains or is gone
 	closedAt time.Duration // when that was taken, 0 while it is open; of the Loop
 	since    time.Duration // Unix time of its last start; 0 for long ago
+	member   Member        // as last told; of the Loop
 }
 
 // Closed tells whether the destination takes nothing new. Any goroutine may ask.
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -90,7 +90,7 @@
 			}
 			d.Address = m.Address
 		}
-		d.since, d.Zone = m.Since, m.Zone
+		d.since, d.Zone, d.member = m.Since, m.Zone, m
 		if l.closeTo(d, m.State != balance.Ready) {
 			closed = append(closed, d.Name)
 		}
--- a/internal/routing/successor.go
+++ b/internal/routing/successor.go
@@ -1,10 +1,49 @@
 package routing
 
+import (
+	"time"
+
+	"kitewood/balance"
+)
+
 // Succeed has the Loop take the place of another, which takes nothing new and still ends what is open in it. A key that is
 // open there is open here, too: a client that sends its operation again must not have it out twice. It is called before
 // the first operation comes.
 func (l *Loop) Succeed(before *Loop) { l.before.Store(before) }
 
+// Inherit hands a Loop that does not run yet the endpoint list of the one whose place it will take: what that one knows must
+// not be learnt anew while requests wait. It tells whether the other answered within a time.
+func (l *Loop) Inherit(before *Loop, within time.Duration) bool {
+	type list struct {
+		index   int64
+		members []Member
+	}
+	answer := make(chan list, 1)
+	until := before.Now() + within
+	if !before.postUntil(func() { before.looked = true; answer <- list{before.pool.index, before.pool.members()} }, until) {
+		return false
+	}
+	left := time.NewTimer(until - before.Now())
+	defer left.Stop()
+	select {
+	case known := <-answer:
+		l.Pool(balance.Cached, known.index, known.members)
+		return true
+	case <-left.C:
+	case <-before.done:
+	}
+	return false
+}
+
+// members are the destinations as they were last told.
+func (p *pool) members() []Member {
+	out := make([]Member, 0, len(p.byName))
+	for _, d := range p.byName {
+		out = append(out, d.member)
+	}
+	return out
+}
+
 // predecessor is the Loop whose place this one has taken, while that one runs.
 func (l *Loop) predecessor() *Loop {
 	before := l.before.Load()
--- a/internal/transport/directory.go
+++ b/internal/transport/directory.go
@@ -36,7 +36,7 @@
 
 	mu            sync.Mutex
 	subscriptions []*subscription // oldest first; the last one is the latest
-	created       time.Time
+	listAt        time.Time       // the list that it starts with was current then
 	followed      bool // Follow or Move has started the first one
 	lease         *lease.Lease
 	movedAt       time.Time // the first reload that is not confirmed yet
@@ -79,7 +79,7 @@
 
 // NewDirectory returns a Directory of discovery at an address.
 func NewDirectory(ctx context.Context, address string, loop routing.Lists, log *slog.Logger) *Directory {
-	d := &Directory{Context: ctx, Loop: loop, Log: log, Clock: routing.NewClock(), created: time.Now()}
+	d := &Directory{Context: ctx, Loop: loop, Log: log, Clock: routing.NewClock(), listAt: time.Now()}
 	d.add(0, address)
 	return d
 }
@@ -123,6 +123,15 @@
 	d.start(next)
 }
 
+// Succeed has the Directory start with the list of another, which is no younger for that. It is called before Follow.
+func (d *Directory) Succeed(old *Directory) {
+	old.mu.Lock()
+	defer old.mu.Unlock()
+	if old.lease != nil {
+		d.listAt = time.Now().Add(old.lease.Confirmed() - old.Clock.Now())
+	}
+}
+
 // latest is the subscription that the configuration names. d.mu is held, or nobody else has the Directory.
 func (d *Directory) latest() *subscription { return d.subscriptions[len(d.subscriptions)-1] }
 
@@ -149,7 +158,7 @@
 	if d.Pushed {
 		rules = lease.Pushed(d.Grace)
 	}
-	d.lease = lease.New(rules, d.Clock.Now()-time.Since(d.created)) // from the process's start on it has a list
+	d.lease = lease.New(rules, d.Clock.Now()-time.Since(d.listAt))
 	d.rng = rand.New(rand.NewPCG(d.Seed, 0x6469726563746f72))
 	d.renewed()
 }
