An upstream connection that was idle for too long gets no request after the process stood still

Cause: the pool trusted the reader's timer alone to end idle connections. A process that was stopped wakes with connections that their endpoint may have closed, and could hand one out before its reader ran: a reset then counts as one that may have run. Change: the pool looks at the age itself. Result: TestIdleForTooLongIsNotUsed, failing before.

--- a/internal/transport/destinations.go
+++ b/internal/transport/destinations.go
@@ -198,8 +198,10 @@
 	// What comes behind an answer, a second copy of it say, is seen while the connection rests; one that works again at
 	// once would take it for its next answer.
 	rested := time.Now().Add(-leastRest)
+	// One that has been idle for too long is left to its reader, which ends it when it runs: the process may have stood still.
+	oldest := time.Now().Add(-u.IdleFor)
 	for i := len(list) - 1; i >= 0; i-- {
-		if k := list[i]; k.since.Before(rested) {
+		if k := list[i]; k.since.Before(rested) && k.since.After(oldest) {
 			u.keep(d, slices.Delete(list, i, i+1))
 			return k
 		}
--- a/internal/transport/directory.go
+++ b/internal/transport/directory.go
@@ -37,7 +37,7 @@
 	mu            sync.Mutex
 	subscriptions []*subscription // oldest first; the last one is the latest
 	listAt        time.Time       // the list that it starts with was current then
-	followed      bool // Follow or Move has started the first one
+	followed      bool            // Follow or Move has started the first one
 	lease         *lease.Lease
 	movedAt       time.Time // the first reload that is not confirmed yet
 	rng           *rand.Rand
--- a/internal/transport/link_test.go
+++ b/internal/transport/link_test.go
@@ -13,6 +13,7 @@
 	"kitewood/balance"
 	"kitewood/internal/protocol"
 	"kitewood/internal/routing"
+	"kitewood/internal/testkit"
 )
 
 // Whatever an answer says, the outcome and the fate of its connection follow.
@@ -198,3 +199,26 @@
 		t.Errorf("%+v takes more than 32 MB", b)
 	}
 }
+
+// A process that stood still wakes with connections that have been idle for longer than they may be, before their readers
+// run: none of them gets a request, which the endpoint's machine may answer with a reset, as one that may have run.
+func TestIdleForTooLongIsNotUsed(t *testing.T) {
+	var connections atomic.Int32
+	at := server(t, func(conn net.Conn) { connections.Add(1); echo(conn) })
+	u := destinations(routing.NewClock())
+	d := &routing.Destination{Address: at}
+	if s := probe(u, d); s != balance.OK {
+		t.Fatal(s)
+	}
+	testkit.Until(t, "the connection rests", func() bool { u.mu.Lock(); defer u.mu.Unlock(); return len(u.idle[d]) == 1 })
+	k := u.idle[d][0]
+	k.mu.Lock()
+	k.since = time.Now().Add(-u.IdleFor - time.Millisecond)
+	k.mu.Unlock()
+	if s := probe(u, d); s != balance.OK {
+		t.Error(s)
+	}
+	if n := connections.Load(); n != 2 {
+		t.Errorf("%d connections, want a new one", n)
+	}
+}
