A silent watch is read on until the next call is answered

Cause: make before break held for reloads alone. Change: the silent watch lingers beside the next call, one at the most, for 30 s at the most. The lab's new instances number their sidecars from 0, as pools want it.

--- a/internal/lab/emulator/timeline.go
+++ b/internal/lab/emulator/timeline.go
@@ -90,7 +90,8 @@
 func (w *World) startMachine(m scenario.Machine) {
 	var beside *sidecar
 	if below := m.Tier + 1; below < len(w.s.Tiers) {
-		beside = w.newSidecar(w.s.Tiers[below].Name+"@"+m.Name, below, m.Number, w.s.Tiers[m.Tier].Instances)
+		of := w.s.Tiers[m.Tier].Instances
+		beside = w.newSidecar(w.s.Tiers[below].Name+"@"+m.Name, below, (m.Number-1)%of, of) // numbers count from 1
 		if err := w.enroll(beside); err != nil {
 			w.failStart(err)
 			return
--- a/internal/transport/directory.go
+++ b/internal/transport/directory.go
@@ -54,8 +54,9 @@
 	superseded chan struct{} // closed when a later reload names another address
 	ctx        context.Context
 	cancel     context.CancelCauseFunc
-	standing   bool // a watch stands and has told a list
-	waiting    bool // a call waits for its answer
+	standing   bool                    // a watch stands and has told a list
+	waiting    bool                    // a call waits for its answer
+	lingering  context.CancelCauseFunc // ends the watch that has fallen silent; nil for none
 }
 
 const (
@@ -71,8 +72,9 @@
 )
 
 var (
-	errMoved   = errors.New("discovery is watched elsewhere")
-	errEvicted = errors.New("too many reloads in a row")
+	errMoved     = errors.New("discovery is watched elsewhere")
+	errEvicted   = errors.New("too many reloads in a row")
+	errSucceeded = errors.New("another call is answered")
 )
 
 var _ routing.Directory = (*Directory)(nil)
@@ -308,7 +310,7 @@
 
 // line takes one list of a watch. Bad data are the watch's end: the last list is kept, and the next watch asks again from
 // there.
-func (d *Directory) line(s *subscription, text []byte) error {
+func (d *Directory) line(w *discoveryWatch, text []byte) error {
 	list, err := protocol.ReadEndpointList(text)
 	if err != nil {
 		return err
@@ -319,22 +321,30 @@
 	}
 	d.telling.Lock()
 	defer d.telling.Unlock()
-	if err := d.adopt(s, list.Index); err != nil {
+	if err := d.adopt(w, list.Index); err != nil {
 		return err
 	}
 	d.Loop.Pool(kind, list.Index, Members(list))
-	d.heard(s) // after the list is on its way: what is held back goes by it
+	d.heard(w.s) // after the list is on its way: what is held back goes by it
 	return nil
 }
 
-// adopt makes the subscription the source of lists, and gives up those before it.
-func (d *Directory) adopt(s *subscription, index int64) error {
+// adopt makes a watch the source of lists, and gives up those before it.
+func (d *Directory) adopt(w *discoveryWatch, index int64) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if err := s.ctx.Err(); err != nil { // a later one has told meanwhile
-		return context.Cause(s.ctx)
+	if w.ctx.Err() != nil { // a later one has told meanwhile
+		return context.Cause(w.ctx)
 	}
-	s.since, s.standing, s.waiting = index, true, false
+	s := w.s
+	if s.since = index; w.lingers {
+		return nil
+	}
+	if s.lingering != nil {
+		s.lingering(errSucceeded)
+		s.lingering = nil
+	}
+	s.standing, s.waiting = true, false
 	for d.subscriptions[0] != s {
 		d.remove(d.subscriptions[0], errMoved)
 	}
--- a/internal/transport/discovery_test.go
+++ b/internal/transport/discovery_test.go
@@ -313,3 +313,42 @@
 		}
 	}
 }
+
+// A watch falls silent, as where its path is cut one way, and delivers what was held while the next call still waits for its
+// turn: it is taken at once. When the next call is answered the old connection ends.
+func TestSilentWatchIsReadOn(t *testing.T) {
+	const held, turn = 4 * time.Second, 5500 * time.Millisecond
+	var calls atomic.Int32
+	began := time.Now()
+	ended := make(chan time.Duration, 9)
+	at := server(t, func(c net.Conn) {
+		defer c.Close()
+		head(c)
+		if calls.Add(1) > 1 {
+			time.Sleep(time.Until(began.Add(turn)))
+			io.WriteString(c, chunked(line(4, "last", "Ready")))
+			io.Copy(io.Discard, c)
+			return
+		}
+		io.WriteString(c, chunked(line(2, "old", "Ready")))
+		time.Sleep(time.Until(began.Add(held)))
+		text := line(3, "new", "Ready") + "\n"
+		fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+		io.Copy(io.Discard, c)
+		ended <- time.Since(began)
+	})
+	loop, _ := follows(t, at, true)
+	testkit.Until(t, "what was held is there", func() bool { return knows(loop, "new") })
+	if took := time.Since(began); took > held+300*time.Millisecond {
+		t.Errorf("what was held was there %v after it came", took-held)
+	}
+	testkit.Until(t, "the next call's list is there", func() bool { return knows(loop, "last") })
+	select {
+	case at := <-ended:
+		if at < turn-50*time.Millisecond {
+			t.Errorf("the silent connection ended after %v, before the next call's turn", at)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("the silent connection stands on")
+	}
+}
--- a/internal/transport/discoverycall.go
+++ b/internal/transport/discoverycall.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -45,6 +46,8 @@
 	comingUp = 1200 * time.Millisecond // a connection that has not come up by then will not
 	opening  = 3200 * time.Millisecond // a watch that has not begun by then will not: discovery gives a call 3 s
 
+	lingerFor = 30 * time.Second // a watch that has been silent for longer is dead for good
+
 	// A call that fails after so long has waited for all the time that discovery gives it, as those do that meet a discovery
 	// which is down; one that is refused sooner has met a queue that is full.
 	waitedOut = 2500 * time.Millisecond
@@ -58,7 +61,7 @@
 // call makes one call for a subscription and runs the watch that it becomes to its end.
 func (d *Directory) call(s *subscription) (end callEnd) {
 	began := time.Now()
-	w := &discoveryWatch{d: d, s: s}
+	w := &discoveryWatch{d: d, s: s, ctx: s.ctx}
 	defer func() {
 		if p := recover(); p != nil {
 			end.kind, end.err = callUnreadable, fmt.Errorf("panic: %v", p)
@@ -72,7 +75,7 @@
 	since := s.since
 	d.mu.Unlock()
 	d.Log.Info("discovery is asked", "call", w.number, "address", s.address, "since", since, "generation", s.generation)
-	err := w.run(s.ctx, s.address, since)
+	err := w.run(since)
 	return callEnd{kind: w.kindOf(err, time.Since(began)), err: err}
 }
 
@@ -80,65 +83,115 @@
 type discoveryWatch struct {
 	d        *Directory
 	s        *subscription
+	ctx      context.Context // ends it
 	number   int
-	dialed   bool
+	began    time.Time
+	conn     net.Conn
+	machine  protocol.Machine
+	lists    protocol.ListReader
 	answered bool // discovery has begun to answer
 	watching bool // with 200
+	lingers  bool // it has fallen silent, and is read on while another call is made
 }
 
-// run calls discovery at an address and reads until the end, which it returns.
-func (w *discoveryWatch) run(ctx context.Context, address string, since int64) error {
-	asked := time.Now()
+// run calls discovery and reads until the end, which it returns. A watch that falls silent lingers.
+func (w *discoveryWatch) run(since int64) error {
+	w.began = time.Now()
 	dialer := net.Dialer{Timeout: comingUp, KeepAlive: -1}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := dialer.DialContext(w.ctx, "tcp", w.s.address)
 	if err != nil {
 		return err
 	}
-	defer conn.Close()
-	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	w.dialed = true
-	conn.SetDeadline(asked.Add(opening))
+	w.conn = conn
+	stop := context.AfterFunc(w.ctx, func() { conn.Close() })
+	defer stop()
+	conn.SetDeadline(w.began.Add(opening))
 	target := fmt.Sprintf("/registry/instances?follow=1&since=%d", since)
-	if _, err := conn.Write(protocol.GetText(address, target)); err != nil {
+	if _, err := conn.Write(protocol.GetText(w.s.address, target)); err != nil {
+		conn.Close()
+		return err
+	}
+	w.lists.Take = func(text []byte) error { return w.d.line(w, text) }
+	w.machine = protocol.Machine{Answers: true, OnBody: w.lists.Add}
+	if err = w.read(silence); isTimeout(err) && w.watching {
+		w.linger()
 		return err
 	}
-	lists := protocol.ListReader{Take: func(text []byte) error { return w.d.line(w.s, text) }}
-	machine := protocol.Machine{Answers: true, OnBody: lists.Add}
+	conn.Close()
+	return err
+}
+
+// linger reads a silent watch on until another call is answered: a path that was broken may deliver what it has held, and
+// that is sooner than the other call's turn.
+func (w *discoveryWatch) linger() {
+	ctx, cancel := context.WithCancelCause(w.s.ctx)
+	w.ctx, w.lingers = ctx, true
+	w.d.mu.Lock()
+	if w.s.lingering != nil {
+		w.s.lingering(errSucceeded)
+	}
+	w.s.lingering = cancel
+	w.d.mu.Unlock()
+	conn := w.conn
+	go func() {
+		defer conn.Close()
+		defer context.AfterFunc(ctx, func() { conn.Close() })()
+		defer cancel(errSucceeded)
+		defer func() {
+			if p := recover(); p != nil {
+				w.d.Log.Error("panic at a silent watch of discovery", "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+			}
+		}()
+		err := w.read(lingerFor)
+		w.d.Log.Info("a silent watch of discovery is over", "call", w.number, "address", w.s.address, "error", err, "cause", context.Cause(ctx))
+	}()
+}
+
+// read reads the watch until its end, or until nothing comes for some time.
+func (w *discoveryWatch) read(patience time.Duration) error {
 	buf := make([]byte, 16<<10)
 	for {
-		n, err := conn.Read(buf)
-		if n == 0 && isTimeout(err) && peek(conn) == waits {
-			// The process stood still over the watch's time, and what it was told meanwhile has not been read.
-			conn.SetReadDeadline(time.Now().Add(silence))
-			continue
-		}
-		used, msg, malformed := machine.Feed(buf[:n])
-		head := machine.Head()
-		if head == nil {
-			head = msg
+		if w.watching {
+			w.conn.SetReadDeadline(time.Now().Add(patience))
 		}
-		if head != nil && !w.answered {
-			w.noteAnswer(head.Status(), time.Since(asked))
+		n, err := w.conn.Read(buf)
+		if n == 0 && w.watching && isTimeout(err) && peek(w.conn) == waits {
+			continue // the process stood still over the watch's time: what it was told meanwhile has not been read
 		}
-		switch {
-		case head != nil && head.Status() != 200:
-			return statusError(head.Status())
-		case malformed != nil:
-			return malformed
-		case lists.Err != nil:
-			return lists.Err
-		case msg != nil || used < n:
-			return io.EOF
-		case err != nil:
+		if err := w.took(buf[:n], err); err != nil {
 			return err
 		}
-		if w.watching {
-			w.d.heard(w.s)
-		}
-		conn.SetReadDeadline(time.Now().Add(silence))
 	}
 }
 
+// took takes what one read brought, and returns what ends the watch.
+func (w *discoveryWatch) took(p []byte, err error) error {
+	used, msg, malformed := w.machine.Feed(p)
+	head := w.machine.Head()
+	if head == nil {
+		head = msg
+	}
+	if head != nil && !w.answered {
+		w.noteAnswer(head.Status(), time.Since(w.began))
+	}
+	switch {
+	case head != nil && head.Status() != 200:
+		return statusError(head.Status())
+	case malformed != nil:
+		return malformed
+	case w.lists.Err != nil:
+		return w.lists.Err
+	case msg != nil || used < len(p):
+		return io.EOF
+	case err != nil:
+		return err
+	}
+	if w.watching {
+		w.d.heard(w.s)
+	}
+	return nil
+}
+
 // noteAnswer takes the head of the answer.
 func (w *discoveryWatch) noteAnswer(status int, waited time.Duration) {
 	w.answered, w.watching = true, status == 200
@@ -150,9 +203,9 @@
 	var status statusError
 	timedOut := isTimeout(err)
 	switch {
-	case !w.dialed && localFailure(err):
+	case w.conn == nil && localFailure(err):
 		return callLocal
-	case !w.dialed:
+	case w.conn == nil:
 		return callUnreachable
 	case errors.As(err, &status) && took >= waitedOut:
 		return callUnreachable
