--- a/internal/transport/discovery_test.go
+++ b/internal/transport/discovery_test.go
@@ -317,6 +317,7 @@
 // A watch falls silent, as where its path is cut one way, and delivers what was held while the next call still waits for its
 // turn: it is taken at once. When the next call is answered the old connection ends.
 func TestSilentWatchIsReadOn(t *testing.T) {
+	t.Parallel()
 	const held, turn = 4 * time.Second, 5500 * time.Millisecond
 	var calls atomic.Int32
 	began := time.Now()
