--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,11 +17,12 @@
 )
 
 const (
-	overdueAfter = 4                     // an attempt is overdue after this many times the mean latency of its class
-	slowAfter    = 2.5                   // and passes its server over from this many on
-	leastLeft    = 0.5                   // nothing is repeated with less left than this part of its class's mean latency
-	queueShare   = 45                    // of a request's time, in 100, that it may be parked
-	tryNoise     = 50 * time.Millisecond // by which the times that clients give may differ
+	overdueAfter = 4   // an attempt is overdue after this many times the mean latency of its class
+	slowAfter    = 2.5 // and passes its server over from this many on
+	leastLeft    = 0.5 // nothing is repeated with less left than this part of its class's mean latency
+	queueShare   = 45  // of a request's time, in 100, that it may be queued
+
+	tryNoise = 50 * time.Millisecond // by which the times that clients give may differ
 )
 
 // Request takes a request: it is sent, held or refused at once, and is answered before its deadline.
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -66,7 +66,8 @@
 // the rate at which it answers. A quiet balancer's own attempts would tell that only when they time out.
 func (b *Balancer) jammed(s *server, now time.Duration) bool {
 	held := b.said(s, Inflight)
-	return s.reported && now-s.fresh < time.Duration(overloadedFor*float64(b.meanAim)) && held > overloadedLeast &&
+	fresh := s.reported && now-s.fresh < time.Duration(overloadedFor*float64(b.meanAim))
+	return fresh && held > overloadedLeast &&
 		held > overloadedFrom*b.meanAim.Seconds()*b.said(s, QPS)
 }
 
