A call that waited before it failed proves discovery out of reach, whatever the wait

Cause: the boundary between a full queue and a discovery that is down was 2.5 s. Change: only a refusal within 0.5 s counts as one. Calls after a wait follow within 0.3 s. Result: the new case of TestStaleListIsNotUsed (2 s) fails without it.

--- a/cmd/kitewood/stalelist_test.go
+++ b/cmd/kitewood/stalelist_test.go
@@ -194,6 +194,20 @@
 	}
 }
 
+// down has a discovery break its watch and fail each call after a wait.
+func (s *staleList) down(wait time.Duration) {
+	s.play(func(w *watcher) {
+		if s.since() < 500*time.Millisecond {
+			w.tell(s.list(1, "Ready"))
+			w.wait(time.Second)
+			panic(http.ErrAbortHandler) // its connection breaks
+		}
+		w.wait(s.since() + wait)
+		w.refuse()
+	}, func() {}, 14*time.Second)
+	s.serves(0.98)
+}
+
 // No request goes to a server that drains once this counts as told, whatever keeps the sidecar from hearing of it: the list
 // that it has may be used for so long and no longer. And no request is refused because a list is old while discovery is out
 // of reach: nothing can count as told then.
@@ -313,18 +327,9 @@
 			s.holds(still)
 		},
 		// Nothing can be told by a discovery that is out of reach, so nothing is held back.
-		"discovery down: calls wait and fail": func(s *staleList) {
-			s.play(func(w *watcher) {
-				if s.since() < 500*time.Millisecond {
-					w.tell(s.list(1, "Ready"))
-					w.wait(time.Second)
-					panic(http.ErrAbortHandler) // its connection breaks
-				}
-				w.wait(s.since() + 3*time.Second)
-				w.refuse()
-			}, func() {}, 14*time.Second)
-			s.serves(0.98)
-		},
+		"discovery down: calls wait for 3 s and fail": func(s *staleList) { s.down(3 * time.Second) },
+		// Another installation's discovery lets calls wait for 2 s.
+		"discovery down: calls wait for 2 s and fail": func(s *staleList) { s.down(2 * time.Second) },
 		"discovery down: connections break": func(s *staleList) {
 			s.play(func(w *watcher) {
 				if s.since() < 500*time.Millisecond {
--- a/internal/transport/backoff.go
+++ b/internal/transport/backoff.go
@@ -25,7 +25,8 @@
 	// 0.4 s kept its queue full for ten seconds.
 	firstBreak = 625 * time.Millisecond
 	mostBreak  = 1250 * time.Millisecond
-	atOnce     = 100 * time.Millisecond // after a call that has waited for seconds already
+	atOnce     = 100 * time.Millisecond // after a watch that was ended in order
+	afterWait  = 300 * time.Millisecond // after a call that has waited for seconds already: its outcome and the next one's renew the lease
 	stood      = time.Second            // a watch that lasted this long was no refusal
 )
 
@@ -41,7 +42,7 @@
 	case b.pushed && end.kind != callSilent && end.kind != callUnanswered:
 		return around(b.grow(mostPushed))
 	case end.kind == callUnanswered, end.kind == callUnreachable && waited:
-		return part(atOnce)
+		return part(afterWait)
 	case end.kind == callSilent:
 		return part(afterMiss)
 	case end.kind == callEnded && end.stood > stood:
--- a/internal/transport/discoverycall.go
+++ b/internal/transport/discoverycall.go
@@ -48,9 +48,9 @@
 
 	lingerFor = 30 * time.Second // a watch that has been silent for longer is dead for good
 
-	// A call that fails after so long has waited for all the time that discovery gives it, as those do that meet a discovery
-	// which is down; one that is refused sooner has met a queue that is full.
-	waitedOut = 2500 * time.Millisecond
+	// A call that fails after it has waited has had all the time that discovery gives it, be that 2 s or 3: so do those that
+	// meet a discovery which is down. One that is refused at once has met a queue that is full.
+	waitedOut = 500 * time.Millisecond
 )
 
 // statusError is an answer of discovery that is no watch.
