Lab: a machine that a release has stopped does not come back to its successor's address

Cause: soak seed 208 ended with 'address already in use': registre-2 vanished, was drained and stopped by the release, came back by the vanishing's end and opened its listeners again before registre-2.2 started there (the plan's order). Change: coming back passes over what was stopped.

--- a/internal/lab/emulator/timeline.go
+++ b/internal/lab/emulator/timeline.go
@@ -108,8 +108,14 @@
 	w.registry.change(i, model.Ready, w.s.Discovery.Add.D())
 }
 
-// bringBack brings a machine back that had vanished, with processes that are new.
+// bringBack brings a machine back that had vanished, with processes that are new. One that a release has stopped meanwhile
+// stays so: another has its address.
 func (w *World) bringBack(i *instance) {
+	stopped := false
+	i.do(func() { stopped = i.stopped })
+	if stopped {
+		return
+	}
 	if s := i.beside; s != nil {
 		s.kill()
 		if err := s.start(); err != nil {
