An answer that has begun, or half a list, renews no lease

Cause: the lease was renewed by every read of a watch, also by the head of an answer whose list had not come. Change: a watch renews the lease with each whole list, and with signs of life once it has brought one. Result: the new case of TestStaleListIsNotUsed fails without it.

--- a/cmd/kitewood/stalelist_test.go
+++ b/cmd/kitewood/stalelist_test.go
@@ -262,6 +262,27 @@
 			s.holds(end + toldAfterEnd)
 			s.serves(0.8)
 		},
+		// Found by the bench: an answer that has begun, or half a list, tells nothing yet.
+		"watch ended instead of telling, the next answer comes in pieces": func(s *staleList) {
+			end := 1500 * time.Millisecond
+			s.play(func(w *watcher) {
+				if s.since() < end {
+					w.tell(s.list(1, "Ready"))
+					w.beat(end)
+					return
+				}
+				w.wait(end + 500*time.Millisecond)
+				text := s.list(2, "Terminating")
+				w.tell("")
+				w.wait(end + 2500*time.Millisecond)
+				w.tell(text[:len(text)/2])
+				w.wait(end + 3500*time.Millisecond)
+				w.tell(text[len(text)/2:])
+				w.beat(99 * time.Second)
+			}, func() {}, end+5*time.Second)
+			s.holds(end + toldAfterEnd)
+			s.serves(0.6)
+		},
 		"new process, discovery refuses": func(s *staleList) {
 			s.ready = false
 			s.play(func(w *watcher) {
--- a/internal/protocol/listreader.go
+++ b/internal/protocol/listreader.go
@@ -20,6 +20,9 @@
 	escaped bool // behind a backslash
 }
 
+// Partial tells whether a part of a list has come.
+func (r *ListReader) Partial() bool { return len(r.buf) > 0 }
+
 // Add takes the next piece.
 func (r *ListReader) Add(p []byte) {
 	for len(p) > 0 && r.Err == nil {
--- a/internal/transport/directory.go
+++ b/internal/transport/directory.go
@@ -325,6 +325,7 @@
 		return err
 	}
 	d.Loop.Pool(kind, list.Index, Members(list))
+	w.told = true
 	d.heard(w.s) // after the list is on its way: what is held back goes by it
 	return nil
 }
--- a/internal/transport/discoverycall.go
+++ b/internal/transport/discoverycall.go
@@ -91,6 +91,7 @@
 	lists    protocol.ListReader
 	answered bool // discovery has begun to answer
 	watching bool // with 200
+	told     bool // it has brought a list
 	lingers  bool // it has fallen silent, and is read on while another call is made
 }
 
@@ -186,7 +187,8 @@
 	case err != nil:
 		return err
 	}
-	if w.watching {
+	// An answer that has begun and half a list confirm nothing: what they are going to say is not known yet.
+	if w.told && !w.lists.Partial() {
 		w.d.heard(w.s)
 	}
 	return nil
