Tests: reloads in a row are gathered, and keep their place without a watch

Cause: the incident's reloads had tests for what they broke, none for how many calls they make. Change: two tests over sockets; the stale list's cases share what refuses and then tells.

--- a/cmd/kitewood/stalelist_test.go
+++ b/cmd/kitewood/stalelist_test.go
@@ -113,6 +113,18 @@
 
 func (w *watcher) refuse() { w.answer.WriteHeader(http.StatusServiceUnavailable) }
 
+// tellsFrom answers calls from a time of the case on with the drain, and refuses them before.
+func tellsFrom(at time.Duration) func(*watcher) {
+	return func(w *watcher) {
+		if w.s.since() < at {
+			w.refuse()
+			return
+		}
+		w.tell(w.s.list(2, "Terminating"))
+		w.beat(99 * time.Second)
+	}
+}
+
 // play starts the sidecar, has clients send all the time and runs a case.
 func (s *staleList) play(first func(*watcher), script func(), last time.Duration) {
 	t := s.t
@@ -228,14 +240,7 @@
 			s.serves(0.95)
 		},
 		"reloads in a row to a discovery that refuses, the old one ends": func(s *staleList) {
-			refusing := func(w *watcher) {
-				if s.since() < away {
-					w.refuse()
-					return
-				}
-				w.tell(s.list(2, "Terminating"))
-				w.beat(99 * time.Second)
-			}
+			refusing := tellsFrom(away)
 			next := []string{s.discovery(refusing), s.discovery(refusing), s.discovery(refusing)}
 			s.play(func(w *watcher) { w.tell(s.list(1, "Ready")); w.wait(300 * time.Millisecond) }, func() {
 				for i, n := range next {
@@ -285,14 +290,7 @@
 		},
 		"new process, discovery refuses": func(s *staleList) {
 			s.ready = false
-			s.play(func(w *watcher) {
-				if s.since() < away {
-					w.refuse()
-					return
-				}
-				w.tell(s.list(2, "Terminating"))
-				w.beat(99 * time.Second)
-			}, func() {}, away+2*time.Second)
+			s.play(tellsFrom(away), func() {}, away+2*time.Second)
 			s.holds(toldAnyway)
 			s.serves(0.5)
 		},
@@ -302,11 +300,8 @@
 				case s.since() < time.Second:
 					w.tell(s.list(1, "Ready"))
 					w.wait(99 * time.Second)
-				case s.since() < away:
-					w.refuse()
 				default:
-					w.tell(s.list(2, "Terminating"))
-					w.beat(99 * time.Second)
+					tellsFrom(away)(w)
 				}
 			}, func() {}, away+2*time.Second)
 			s.holds(toldAnyway)
@@ -314,14 +309,7 @@
 		},
 		"pushed: reload to an agent that answers late": func(s *staleList) {
 			s.mode = "push"
-			next := s.discovery(func(w *watcher) {
-				if s.since() < 6*time.Second {
-					w.refuse()
-					return
-				}
-				w.tell(s.list(2, "Terminating"))
-				w.beat(99 * time.Second)
-			})
+			next := s.discovery(tellsFrom(6 * time.Second))
 			s.play(func(w *watcher) { w.tell(s.list(1, "Ready")); w.beat(99 * time.Second) }, func() { s.reload(next) }, 8*time.Second)
 			s.holds(toldAfterMove)
 			s.serves(0.6)
--- a/internal/transport/discovery_test.go
+++ b/internal/transport/discovery_test.go
@@ -353,3 +353,58 @@
 		t.Error("the silent connection stands on")
 	}
 }
+
+// Reloads in a row: while a watch stands the addresses between are not called at all, and the old watch tells on until the
+// last one has.
+func TestReloadsInARowAreGathered(t *testing.T) {
+	t.Parallel()
+	tell := make(chan bool)
+	old := server(t, func(c net.Conn) {
+		head(c)
+		io.WriteString(c, chunked(line(2, "old", "Ready")))
+		<-tell
+		text := line(3, "new", "Ready") + "\n"
+		fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+		io.Copy(io.Discard, c)
+	})
+	var between, last atomic.Int32
+	loop, d := follows(t, old, true)
+	testkit.Until(t, "the first list is there", func() bool { return knows(loop, "old") })
+	for range 4 {
+		d.Move(server(t, func(c net.Conn) { between.Add(1); io.Copy(io.Discard, c) }))
+		time.Sleep(50 * time.Millisecond)
+	}
+	d.Move(server(t, func(c net.Conn) { last.Add(1); head(c); io.Copy(io.Discard, c) }))
+	testkit.Until(t, "the last one is asked", func() bool { return last.Load() > 0 })
+	close(tell)
+	testkit.Until(t, "the old watch tells on", func() bool { return knows(loop, "new") })
+	if n := between.Load(); n > 0 {
+		t.Errorf("discoveries that were named for a moment got %d calls", n)
+	}
+}
+
+// Without a watch each reload is followed at once, and those that wait keep their place; but there are never more than a few
+// connections to discovery.
+func TestReloadsWithoutAWatch(t *testing.T) {
+	t.Parallel()
+	var open, most, called atomic.Int32
+	silent := func(c net.Conn) {
+		called.Add(1)
+		most.Store(max(most.Load(), open.Add(1)))
+		io.Copy(io.Discard, c)
+		open.Add(-1)
+	}
+	_, d := follows(t, "127.0.0.1:1", true)
+	const moves = 6
+	for range moves {
+		d.Move(server(t, silent))
+		time.Sleep(100 * time.Millisecond)
+	}
+	testkit.Until(t, "each was called", func() bool { return called.Load() >= moves })
+	if n := most.Load(); n > mostSubscriptions+1 { // one may be ending
+		t.Errorf("%d connections at a time", n)
+	}
+	if n := open.Load(); n < mostSubscriptions {
+		t.Errorf("%d calls wait on, want %d", n, mostSubscriptions)
+	}
+}
