A word on the hold never waits for the loop, and is never overtaken by an older one

Cause: read on review: the Directory handed the hold to the loop under its lock. Behind a stuck loop that would have kept a reload, and with it the signals, waiting. The check counted an attempt that began in the very instant of the pause, which the lease leaves 0.17 s for. Change: handed over without waiting, in order; what began counts from 0.15 s on.

--- a/internal/routing/interfaces.go
+++ b/internal/routing/interfaces.go
@@ -119,7 +119,7 @@
 	now := a.clock.Now()
 	left = a.Deadline - now
 	a.told.Store(int64(left))
-	a.heldThen.Store(a.hold.holds(now))
+	a.heldThen.Store(a.hold.broken(now))
 	a.began.Store(int64(now))
 	return left
 }
--- a/internal/routing/loop.go
+++ b/internal/routing/loop.go
@@ -42,6 +42,8 @@
 	keys        map[string]*Operation // those of ops that have a key
 	pool        pool
 	hold        holdWindow
+	holds       atomic.Uint64 // words on the hold so far
+	lastHold    uint64        // the last one that was taken
 	confirmedAt time.Duration // the endpoint list was last renewed then; 0 for never
 	timers      timers
 	asked       uint64 // timers asked for so far
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -35,9 +35,14 @@
 }
 
 // Hold takes between which times of its clock nothing may be sent, as the endpoint list is too old, from any goroutine. It
-// goes by the lists that were handed over before.
+// goes by the lists that were handed over before. It does not wait for the Loop: whoever calls may be asked for other things.
 func (l *Loop) Hold(from, to time.Duration) {
-	l.post(func() {
+	order := l.holds.Add(1)
+	l.hand(func() {
+		if order < l.lastHold { // a later word has overtaken it
+			return
+		}
+		l.lastHold = order
 		if from > time.Duration(l.hold.from.Load()) {
 			l.confirmedAt = l.Now()
 		}
@@ -54,10 +59,18 @@
 	h.to.Store(int64(to))
 }
 
+// holds tells whether nothing may be sent now.
 func (h *holdWindow) holds(now time.Duration) bool {
 	return int64(now) >= h.from.Load() && int64(now) < h.to.Load()
 }
 
+// holdSlack is how long after its begin a pause counts against what has begun: the process may be held up for so long between
+// its last look and its first byte, and the lease leaves room for that.
+const holdSlack = 150 * time.Millisecond
+
+// broken tells whether what begins now breaks the pause.
+func (h *holdWindow) broken(now time.Duration) bool { return h.holds(now) && h.holds(now-holdSlack) }
+
 // Lost says that a watch has ended, from any goroutine.
 func (l *Loop) Lost() {
 	l.post(func() {
