--- a/internal/transport/directory.go
+++ b/internal/transport/directory.go
@@ -281,9 +281,9 @@
 	}
 	d.renewed()
 	pause := pace.next(end, d.rng)
-	heard := d.stands()
+	heard, since := d.stands(), s.since
 	d.mu.Unlock()
-	d.Log.Warn("the watch of discovery has ended", "address", s.address, "since", s.since, "kind", end.kind.String(), "error", end.err,
+	d.Log.Warn("the watch of discovery has ended", "address", s.address, "since", since, "kind", end.kind.String(), "error", end.err,
 		"stood", end.stood.Round(time.Millisecond), "next", pause.Round(time.Millisecond), "superseded", !latest)
 	if !heard {
 		d.Loop.Lost()
