--- a/review/3/main.go
+++ b/review/3/main.go
@@ -63,6 +63,7 @@
 			if err := bad.Start(); err != nil {
 				rig.Skip("%v", err)
 			}
+			rig.Note(bad.Process.Pid)
 			record.Say("%d bad clients come, for %v", badOnes, badFor)
 			bad.Wait()
 			record.Say("the bad clients have left")
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -72,6 +73,26 @@
 	started   []*Sidecar
 )
 
+// init has the processes that the case started end with it when it is told to end.
+func init() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		Skip("told to end")
+	}()
+}
+
+// Note writes the id of a process that was started to the file that run-case.sh reads: whatever is left at the end is ended by it.
+func Note(pid int) {
+	f, err := os.OpenFile(os.Getenv("PIDS_FILE"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return
+	}
+	defer f.Close()
+	fmt.Fprintln(f, pid)
+}
+
 // StopAll ends all processes that the case has started.
 func StopAll() {
 	startedMu.Lock()
@@ -209,6 +230,7 @@
 		Skip("%s: %v", os.Getenv("RUN_COMMAND"), err)
 	}
 	log.Close()
+	Note(s.PID())
 	go func() {
 		s.cmd.Wait()
 		s.EndedAt, s.ExitText = time.Now(), s.cmd.ProcessState.String()
