A stopping sidecar answers requests that came before SIGTERM by their own deadlines

Cause: Server.Stop gave up its wait after min(longest deadline, 3 s) + 0.6 s whatever was in flight. Deadlines of requests that come while draining are cut to fit; those of requests taken before the signal were not.

Change: Stop waits until every connection is closed. A request received before the signal keeps its deadline; the cut goes by when the request was read, not by when it is handled. Bytes that come after the signal behind an open request cut its time, as they have to be answered before a SIGKILL. The whole is bounded by the longest deadline of a class, after which, or at a second signal, open requests are answered as failed at once. Lingering is short once the time is over, so the process exits no later for it.

Same cause on related paths: pools.Set.Stop did not count the deadlines of retired pools; a retired pool ended by its classes' deadlines although a request may state more time; a second signal was ignored.

--- a/cmd/kitewood/main_test.go
+++ b/cmd/kitewood/main_test.go
@@ -340,3 +340,21 @@
 		}
 	}
 }
+
+// A second SIGTERM ends the wait for open requests: they are answered as failed and the process exits.
+func TestSecondSIGTERM(t *testing.T) {
+	b := startTestbed(t)
+	answered := make(chan int)
+	go func() { status, _, _ := b.call("POST", "/pay/never", ""); answered <- status }()
+	<-b.requests
+	b.process.Process.Signal(syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond) // pending signals are merged
+	second := time.Now()
+	b.process.Process.Signal(syscall.SIGTERM)
+	if status := <-answered; status != 502 || time.Since(second) > time.Second {
+		t.Errorf("the open request got status %d after %v, want 502 at once", status, time.Since(second))
+	}
+	if err := <-b.exited; err != nil || time.Since(second) > 2*time.Second {
+		t.Errorf("the sidecar exited with %v %v after the second signal; log: %s", err, time.Since(second), b.log.String())
+	}
+}
--- a/internal/pools/pools_test.go
+++ b/internal/pools/pools_test.go
@@ -110,6 +110,12 @@
 
 // get sends one request on a new connection.
 func (p *testProcess) get(host, path string) (status int, body string, header http.Header) {
+	p.t.Helper()
+	return p.getWithHeader(host, path, "")
+}
+
+// getWithHeader is get with further header lines.
+func (p *testProcess) getWithHeader(host, path, lines string) (status int, body string, header http.Header) {
 	p.t.Helper()
 	c, err := net.Dial("tcp", p.address)
 	if err != nil {
@@ -117,7 +123,7 @@
 	}
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(30 * time.Second))
-	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, host)
+	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n%s\r\n", path, host, lines)
 	r, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		p.t.Error(err)
@@ -231,6 +237,30 @@
 	p.expect("x", "/b", 404, "")
 }
 
+// A request that states more time than its class has is served although its pool is removed meanwhile. Guards against a pool that is
+// ended by its classes' deadlines while requests are in flight.
+func TestRemovedPoolServesLongerRequests(t *testing.T) {
+	resume := make(chan struct{})
+	a, b := startStubService(t, "a", resume), startStubService(t, "b", nil)
+	pools, entryB := "pools:\n", poolEntry("b", "1s", "")
+	p := startProcess(t, map[string]*stubService{"a": a, "b": b}, pools+poolEntry("a", "1s, late_worth: 0.5", "")+entryB+"routes: [{path: /a, pool: a}, {path: /b, pool: b}]\n")
+	answered := make(chan string, 1)
+	go func() {
+		_, text, _ := p.getWithHeader("x", "/a", "X-Time-Left-Ms: 10000\r\n")
+		answered <- text
+	}()
+	testkit.WaitUntil(t, "the request is at its endpoint", func() bool { return a.open.Load() == 1 })
+	if err := p.apply(pools + entryB + "routes: [{path: /b, pool: b}]\n"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Second + retireMargin + 200*time.Millisecond)
+	close(resume)
+	if text := <-answered; text != "a" {
+		t.Errorf("the request in the removed pool was answered %q", text)
+	}
+	testkit.WaitUntil(t, "the removed pool has ended", func() bool { p.mu.Lock(); defer p.mu.Unlock(); return len(p.retired) == 0 })
+}
+
 // When another pool has borrowed connections that are guaranteed to a pool, the pool gets an idle one of them.
 func TestIdleBorrowedConnectionIsEvicted(t *testing.T) {
 	a, b := startStubService(t, "a", nil), startStubService(t, "b", nil)
--- a/internal/pools/set.go
+++ b/internal/pools/set.go
@@ -166,18 +166,26 @@
 func (s *Set) retire(p *pool) {
 	s.retired[p], s.lastRetired[p.name] = true, p
 	p.connections.Close()
-	time.AfterFunc(p.maxDeadline()+retireMargin, func() {
-		p.cancel()
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.retired, p)
-		if s.lastRetired[p.name] == p {
-			delete(s.lastRetired, p.name)
-		}
-	})
+	time.AfterFunc(p.maxDeadline()+retireMargin, func() { s.endRetired(p) })
+}
+
+// endRetired ends a retired pool once it has no request in flight. A request may state more time than its class has.
+func (s *Set) endRetired(p *pool) {
+	if p.loop.PendingRequests() > 0 && p.ctx.Err() == nil {
+		time.AfterFunc(retireMargin, func() { s.endRetired(p) })
+		return
+	}
+	p.cancel()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.retired, p)
+	if s.lastRetired[p.name] == p {
+		delete(s.lastRetired, p.name)
+	}
 }
 
-// retireMargin is how long after the longest deadline the last responses of a pool may arrive.
+// retireMargin is how long after the longest deadline the last responses of a pool may arrive, and how often a retired pool is
+// looked at from then on.
 const retireMargin = time.Second
 
 // evictIdle closes an idle connection of a pool so that its lender can have it back.
@@ -201,20 +209,27 @@
 	return n
 }
 
-// Stop stops the listeners like transport.Server.Stop, within the longest deadline of a class and a margin.
+// Stop stops the listeners like transport.Server.Stop, within the longest deadline of a class and a margin. The classes of retired
+// pools count, too. A request that states more time than any class has is answered as failed after that.
 func (s *Set) Stop(ctx context.Context) {
 	s.mu.Lock()
 	maxDeadline := time.Duration(0)
 	for _, p := range s.pools {
 		maxDeadline = max(maxDeadline, p.maxDeadline())
 	}
+	for p := range s.retired {
+		maxDeadline = max(maxDeadline, p.maxDeadline())
+	}
 	var lns []net.Listener
 	for _, ln := range s.listeners {
 		lns = append(lns, ln)
 	}
 	server := s.server
 	s.mu.Unlock()
-	server.Stop(ctx, maxDeadline+retireMargin/2, lns...)
+	within := maxDeadline + retireMargin/2
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	server.Stop(ctx, within, lns...)
 }
 
 // ConfigureRuntime sets the runtime's processor count, garbage collection and memory limit for the given resources.
--- a/internal/program/file.go
+++ b/internal/program/file.go
@@ -53,7 +53,9 @@
 		log.Info("configuration reloaded", "listeners", len(next.Listeners), "pools", len(next.Pools), "routes", len(next.Routes))
 		return nil
 	})
-	set.Stop(ctx)
+	drainCtx, cancelDrain := untilSecondSignal(ctx, signals, log)
+	defer cancelDrain()
+	set.Stop(drainCtx)
 	log.Info("stopped", "owed", set.PendingRequests())
 	return nil
 }
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -16,13 +16,9 @@
 	"kitewood/internal/pools"
 	"kitewood/internal/routing"
 	"kitewood/internal/transport"
-	"kitewood/internal/yamlfile"
 )
 
-// After the signal to stop, a sidecar is not killed before the longest deadline of a class, or 3 s if that is shorter, plus 0.7 s.
 const (
-	maxStopWait            = 3 * time.Second
-	stopMargin             = 500 * time.Millisecond
 	unresponsiveRetryAfter = time.Second           // Retry-After while the event loop does not respond
 	viewTimeout            = 50 * time.Millisecond // for the event loop to report its metrics
 )
@@ -95,7 +91,11 @@
 	for _, class := range c.Classes {
 		maxDeadline = max(maxDeadline, class.Deadline)
 	}
-	server.Stop(ctx, min(maxDeadline, maxStopWait)+stopMargin, ln)
+	ctx, cancelDrain := untilSecondSignal(ctx, signals, log)
+	defer cancelDrain()
+	drainCtx, cancelTimeout := context.WithTimeout(ctx, maxDeadline+stopMargin) // a request that states more time than its class has fails then
+	defer cancelTimeout()
+	server.Stop(drainCtx, min(maxDeadline, maxStopWait)+stopMargin, ln)
 	if v, ok := loop.View(viewTimeout); ok {
 		log.Info("counts", "requests", &v.Metrics, "connections", server.CloseCounts(), "violations", invariants.Violations(), "denials", invariants.Denials(),
 			"discovery", discovery.State())
@@ -110,53 +110,3 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	return signals
 }
-
-// A configuration that is invalid at SIGHUP may be only partly written. It is read again with exponential backoff until it is
-// valid.
-const (
-	initialReloadDelay = 100 * time.Millisecond // doubled after each retry
-	maxReloadDelay     = time.Second            // upper bound of the delay
-	maxReloadRetries   = 12                     // about 9 s in total
-)
-
-// waitForStop waits for a signal to stop or the end of the context. It calls reload on each SIGHUP, and again while that fails.
-func waitForStop(ctx context.Context, signals chan os.Signal, log *slog.Logger, pending func() int, reload func() error) {
-	retryTimer := time.NewTimer(time.Hour)
-	defer retryTimer.Stop()
-	delay, retriesLeft, lastError := initialReloadDelay, 0, ""
-	tryReload := func() {
-		err := reload()
-		if err == nil {
-			retriesLeft = 0
-			return
-		}
-		// A partly written or invalid file must not end a sidecar that serves.
-		if text := yamlfile.OneLine(err); text != lastError {
-			lastError = text
-			log.Error("the configuration is not taken, the old one stays", "error", text, "reread", retriesLeft > 0)
-		}
-		if retriesLeft > 0 {
-			retryTimer.Reset(delay)
-			delay = min(2*delay, maxReloadDelay)
-		}
-	}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				log.Info("stopping", "signal", s.String(), "owed", pending())
-				return
-			}
-			delay, retriesLeft, lastError = initialReloadDelay, maxReloadRetries, ""
-			retryTimer.Stop()
-			tryReload()
-		case <-retryTimer.C:
-			if retriesLeft > 0 {
-				retriesLeft--
-				tryReload()
-			}
-		}
-	}
-}
--- a/internal/transport/clientconn.go
+++ b/internal/transport/clientconn.go
@@ -23,7 +23,7 @@
 	maxReadAhead         = protocol.MaxHeadBytes + protocol.MaxBodyBytes // bytes buffered while a response is pending
 	lingerTimeout        = 500 * time.Millisecond                        // for the client to close its side
 	readMergeWindow      = 5 * time.Millisecond                          // reads within it share a timestamp
-	shortLingerTimeout   = 50 * time.Millisecond                         // replaces lingerTimeout while another client waits for a descriptor
+	shortLingerTimeout   = 50 * time.Millisecond                         // replaces lingerTimeout while another client, or the end of the process, waits for it
 )
 
 // clientConn is one client connection. A single goroutine serves and closes it; others may only ask it to close. While a
@@ -323,7 +323,7 @@
 		defer backend.Chain.end(entry)
 		deadline, nextHeader = entry.Deadline, func() (string, bool) { return backend.Chain.nextHeader(entry) }
 	}
-	if c.server.draining.Load() { // the process may be killed after that, and the request lost
+	if c.server.stoppedBefore(c.requestReadAt()) { // the process may be killed after that, and the request lost
 		deadline = min(deadline, time.Duration(c.server.drainDeadline.Load()))
 	}
 	req := &routing.Request{Class: meta.Class, Deadline: deadline, CostHint: meta.CostHint,
@@ -367,8 +367,8 @@
 // awaitAnswer keeps reading until the answer to the request is there; it returns false if the client disconnects first. If there
 // is no answer shortly after the deadline, the request has failed.
 func (c *clientConn) awaitAnswer(buf []byte) (routing.Answer, bool) {
-	readDeadline := c.loop.At(c.request.Deadline + deadlineGrace)
-	for time.Now().Before(readDeadline) {
+	for {
+		readDeadline := c.answerDeadline()
 		// The deadline is set before the answer is looked for: an answer that comes later moves the deadline again.
 		c.conn.SetReadDeadline(readDeadline)
 		select {
@@ -376,6 +376,9 @@
 			return a, true
 		default:
 		}
+		if c.server.expired.Load() || !time.Now().Before(readDeadline) {
+			break
+		}
 		n, err := c.conn.Read(buf)
 		c.bufferRead(buf[:n])
 		if n == 0 && err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -396,6 +399,16 @@
 	}
 }
 
+// answerDeadline returns when the connection answers its request by itself. A request that was received before the sidecar was asked
+// to stop keeps its deadline, unless bytes that came since wait behind it: these must be answered before the process may be killed.
+func (c *clientConn) answerDeadline() time.Time {
+	deadline := c.request.Deadline
+	if n := len(c.readMarks); n > 0 && len(c.readAhead) > 0 && c.server.stoppedBefore(c.readMarks[n-1].at) {
+		deadline = min(deadline, time.Duration(c.server.drainDeadline.Load()))
+	}
+	return c.loop.At(deadline + deadlineGrace)
+}
+
 // replyError answers data that is not a valid request. As the end of that request is not known, the connection closes.
 func (c *clientConn) replyError(err error) {
 	var e *protocol.Error
@@ -443,7 +456,7 @@
 	buf := make([]byte, 4<<10)
 	for budget := 4 * protocol.MaxBodyBytes; ; {
 		elapsed := time.Since(began)
-		if elapsed >= lingerTimeout || elapsed >= shortLingerTimeout && c.server.descriptorWanted.Load() {
+		if elapsed >= lingerTimeout || elapsed >= shortLingerTimeout && (c.server.descriptorWanted.Load() || c.server.drainOverdue()) {
 			return
 		}
 		if budget <= 0 { // a flood is not read forever, but the response still gets its time
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -30,8 +30,9 @@
 	serving          atomic.Bool  // Serve has been called
 	draining         atomic.Bool  // the sidecar stops and is no longer ready
 	closing          atomic.Bool  // each connection closes after its next response
+	expired          atomic.Bool  // open requests are answered as failed without further waiting
 	descriptorWanted atomic.Bool  // an accept loop waits for a descriptor
-	drainDeadline    atomic.Int64 // while draining: when all requests must be answered, on the event loop's clock
+	drainDeadline    atomic.Int64 // while draining: when the requests received since must be answered, on the event loop's clock
 	stopRequestedAt  atomic.Int64 // when Stop was called, on the event loop's clock; 0 if it was not
 	mu               sync.Mutex   // guards the fields below
 	conns            map[*clientConn]struct{}
@@ -215,16 +216,17 @@
 // pastDeadline returns a read deadline in the past, which wakes up a blocked read.
 func pastDeadline() time.Time { return time.Unix(1, 0) }
 
-// Stop drains the Server within the given time. For two thirds of it requests are served as before: clients keep their
-// connections, as there may be no other sidecar for them and a successor starts no sooner if this process ends early. Then it
-// accepts the connections that still wait in the accept queue, closes idle ones and waits until no request is pending. A request
-// received meanwhile has its deadline shortened to the time left.
+// Stop drains the Server. For two thirds of the given time requests are served as before: clients keep their connections, as there
+// may be no other sidecar for them and a successor starts no sooner if this process ends early. Then it accepts the connections that
+// still wait in the accept queue, closes idle ones and waits until every request has its answer. Requests received since the call are
+// answered within the given time. Those received before keep their deadlines, which may lie beyond it. Once the context is done, open
+// requests are answered as failed at once.
 func (s *Server) Stop(ctx context.Context, within time.Duration, lns ...net.Listener) {
 	s.drainDeadline.Store(int64(s.clock.Now() + within - deadlineGrace))
 	s.draining.Store(true)
 	s.stopRequestedAt.Store(int64(s.clock.Now())) // after draining is set: a request received later than this has seen it
-	// A connection answers its client itself once the deadline has passed; the process must not exit before that.
-	ctx, cancel := context.WithTimeout(ctx, within+4*deadlineGrace)
+	// A connection answers its client itself once the deadline has passed; the listeners must not close before that.
+	acceptCtx, cancel := context.WithTimeout(ctx, within+4*deadlineGrace)
 	defer cancel()
 	select {
 	case <-time.After(within * 2 / 3):
@@ -236,19 +238,52 @@
 	for _, ln := range lns {
 		limitAccept(ln)
 	}
+	defer context.AfterFunc(acceptCtx, s.changed.Broadcast)()
+	defer context.AfterFunc(ctx, s.failOpenRequests)()
+	s.awaitClosedConnections(acceptCtx, lns)
+	closeListeners(lns)
+}
+
+// awaitClosedConnections waits until the accept loops have ended and no connection is left. Once acceptCtx is done the listeners are
+// closed. The wait ends by itself: a connection lasts no longer than its request's deadline and the timeouts of reading and writing.
+func (s *Server) awaitClosedConnections(acceptCtx context.Context, lns []net.Listener) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	defer context.AfterFunc(ctx, s.changed.Broadcast)()
-	for ctx.Err() == nil && s.acceptLoops+len(s.conns) > 0 {
+	logged := false
+	for s.acceptLoops+len(s.conns) > 0 {
 		for s.requestClose() {
 		}
-		if s.acceptLoops == 0 {
+		if s.acceptLoops == 0 || acceptCtx.Err() != nil {
 			closeListeners(lns)
 		}
+		if acceptCtx.Err() != nil && !logged {
+			logged = true
+			s.log.Info("still draining: requests received before the stop have time left", "connections", len(s.conns))
+		}
 		time.AfterFunc(partialRequestGrace, s.changed.Broadcast) // a partial request may be past its grace period soon
 		s.changed.Wait()
 	}
-	closeListeners(lns)
+}
+
+// failOpenRequests makes each connection with a request in flight answer it at once.
+func (s *Server) failOpenRequests() {
+	s.expired.Store(true) // before the wake-ups: a connection that sets its read deadline later looks at it again
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.conn.SetReadDeadline(pastDeadline())
+	}
+}
+
+// drainOverdue reports whether the Server stops and the time for requests received since then is over.
+func (s *Server) drainOverdue() bool {
+	return s.draining.Load() && s.clock.Now() > time.Duration(s.drainDeadline.Load())
+}
+
+// stoppedBefore reports whether the Server had been asked to stop before the given time.
+func (s *Server) stoppedBefore(t time.Time) bool {
+	stopRequestedAt := time.Duration(s.stopRequestedAt.Load())
+	return stopRequestedAt > 0 && s.clock.At(stopRequestedAt).Before(t)
 }
 
 // checkReady records an invariant violation if a readiness check received at the given time was answered "ready" although the
