--- /dev/null
+++ b/review/rig-2/instance.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Instance stands in for an instance: it answers each request after its work, also while it drains.
+type Instance struct {
+	Name, Address string
+
+	rig    *Rig
+	work   time.Duration
+	server *http.Server
+	mu     sync.Mutex
+	got    []Got
+}
+
+// Got is a request that an instance has received.
+type Got struct {
+	At time.Duration // when its head was read
+	ID string
+}
+
+// NewInstance starts an instance.
+func (r *Rig) NewInstance(name string, work time.Duration) (*Instance, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	i := &Instance{Name: name, Address: ln.Addr().String(), rig: r, work: work}
+	i.server = &http.Server{Handler: http.HandlerFunc(i.serve), IdleTimeout: 30 * time.Second}
+	go i.server.Serve(ln)
+	return i, nil
+}
+
+// Stop ends the instance: its connections are reset or closed, new ones are refused.
+func (i *Instance) Stop() { i.server.Close() }
+
+// Received returns the requests that the instance has got.
+func (i *Instance) Received() []Got {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return append([]Got(nil), i.got...)
+}
+
+func (i *Instance) serve(w http.ResponseWriter, req *http.Request) {
+	id := req.Header.Get("X-Correlation-Id")
+	at := i.rig.Now()
+	if id == "" {
+		http.NotFound(w, req)
+		return
+	}
+	io.Copy(io.Discard, req.Body)
+	i.mu.Lock()
+	i.got = append(i.got, Got{at, id})
+	i.mu.Unlock()
+	i.rig.LogAt(at, "%s runs %s", i.Name, id)
+	time.Sleep(i.work)
+	body := fmt.Sprintf("%s has run %s\n", i.Name, id)
+	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+	io.WriteString(w, body)
+}
