Review case 6: answers that come in pieces are cut off 0.75 s after their first byte

Need: instances take seconds to give an answer, in pieces; cutting off what an instance still gives loses the request.

It is the gravest of the cases, as it needs nothing else, so the others are numbered anew: 6 to 9 became 7 to 10.

Nothing is mended.

--- a/review/rig-2/crowd.go
+++ b/review/rig-2/crowd.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-func init() { cases["6"] = crowdThatStopsHalfWay }
+func init() { cases["7"] = crowdThatStopsHalfWay }
 
 // crowdSize is the number of clients that stop half way: a crowd of thousands.
 const crowdSize = 2500
@@ -37,7 +37,7 @@
 	if err := AwaitReady(listen); err != nil {
 		return err
 	}
-	clients := r.NewClients(listen, "6a")
+	clients := r.NewClients(listen, "7a")
 	clients.fresh = true
 	loaded := make(chan struct{})
 	go func() { defer close(loaded); clients.Load(40*time.Millisecond, 12*time.Second, nil, lookup, payment) }()
--- a/review/rig-2/instance.go
+++ b/review/rig-2/instance.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -15,6 +16,8 @@
 
 	rig    *Rig
 	work   time.Duration
+	length int           // of a long answer; 0 for a short one
+	giving time.Duration // for so long it gives a long answer, in pieces
 	server *http.Server
 	mu     sync.Mutex
 	got    []Got
@@ -62,6 +65,23 @@
 	i.rig.LogAt(at, "%s runs %s", i.Name, id)
 	time.Sleep(i.work)
 	body := fmt.Sprintf("%s has run %s\n", i.Name, id)
+	body += strings.Repeat(".", max(i.length-len(body), 0))
 	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
-	io.WriteString(w, body)
+	if i.giving == 0 {
+		io.WriteString(w, body)
+		return
+	}
+	const pieces = 16
+	flush := http.NewResponseController(w).Flush
+	for k := range pieces {
+		io.WriteString(w, body[len(body)*k/pieces:len(body)*(k+1)/pieces])
+		flush()
+		select {
+		case <-req.Context().Done():
+			i.rig.Log("CUT OFF: %s, which gave the answer of %s", i.Name, id)
+			return
+		case <-time.After(i.giving / pieces):
+		}
+	}
+	i.rig.Log("%s has given the answer of %s", i.Name, id)
 }
--- a/review/rig-2/movecrowd.go
+++ b/review/rig-2/movecrowd.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-func init() { cases["9"] = crowdedDiscoveryAfterReload }
+func init() { cases["10"] = crowdedDiscoveryAfterReload }
 
 // crowdedDiscoveryAfterReload gives a sidecar a new configuration that moves discovery. The new discovery is crowded: it refuses the
 // calls of the first seconds with 503.
@@ -37,7 +37,7 @@
 	if err := AwaitReady(listen); err != nil {
 		return err
 	}
-	clients := r.NewClients(listen, "9a")
+	clients := r.NewClients(listen, "10a")
 	stop, loaded := make(chan struct{}), make(chan struct{})
 	go func() { defer close(loaded); clients.Load(25*time.Millisecond, 30*time.Second, stop, lookup, payment) }()
 	time.Sleep(6 * time.Second) // the first call comes within 3.2 s
--- a/review/rig-2/poolreload.go
+++ b/review/rig-2/poolreload.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-func init() { cases["8"] = reloadMovesDiscovery }
+func init() { cases["9"] = reloadMovesDiscovery }
 
 // reloadMovesDiscovery gives a sidecar with pools a new configuration that moves discovery while a release is under way. The new
 // discovery counts its versions itself.
@@ -40,7 +40,7 @@
 	if err := AwaitReady(listen); err != nil {
 		return err
 	}
-	clients := r.NewClients(listen, "8a")
+	clients := r.NewClients(listen, "9a")
 	stop, loaded := make(chan struct{}), make(chan struct{})
 	go func() { defer close(loaded); clients.Load(25*time.Millisecond, 20*time.Second, stop, lookup, payment) }()
 	time.Sleep(3 * time.Second)
--- a/review/rig-2/poolstop.go
+++ b/review/rig-2/poolstop.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-func init() { cases["7"] = plannedRestartOfPools }
+func init() { cases["8"] = plannedRestartOfPools }
 
 // plannedRestartOfPools ends a sidecar with pools as at a planned restart, under load.
 func plannedRestartOfPools(r *Rig) error {
@@ -30,7 +30,7 @@
 	if err := AwaitReady(listen); err != nil {
 		return err
 	}
-	clients := r.NewClients(listen, "7a")
+	clients := r.NewClients(listen, "8a")
 	const (
 		before = 4 * time.Second
 		// The longest deadline of a class is 6 s, which is taken as 3 s, and 0.7 s more.
