--- a/review/rig-2/crowd.go
+++ b/review/rig-2/crowd.go
@@ -12,8 +12,11 @@
 
 func init() { cases["7"] = crowdThatStopsHalfWay }
 
-// crowdSize is the number of clients that stop half way: a crowd of thousands.
-const crowdSize = 2500
+// A crowd of thousands of clients that stop half way, and the time over which they come.
+const (
+	crowdSize = 2500
+	crowdTime = 2 * time.Second
+)
 
 // crowdThatStopsHalfWay has a crowd of clients connect, send half a head and stay, while the usual clients send each request on a new
 // connection.
@@ -47,8 +50,9 @@
 	var connected atomic.Int64
 	if r.Trouble {
 		r.Log("%d clients connect, send half a head and stay", crowdSize)
-		for range crowdSize {
+		for k := range crowdSize {
 			crowd.Go(func() {
+				time.Sleep(crowdTime * time.Duration(k) / crowdSize)
 				if stopHalfWay(listen, crowdEnds) {
 					connected.Add(1)
 				}
