--- a/review/rig-2/discovery.go
+++ b/review/rig-2/discovery.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"net"
@@ -29,6 +30,26 @@
 	Endpoints []Entry `json:"endpoints"`
 }
 
+// firstInLine is the header field of another caller of the rig, whose call stands before the crowd.
+const firstInLine = "X-First-In-Line"
+
+// Follow watches discovery as another caller, and records what it is told.
+func (d *Discovery) Follow(ctx context.Context) {
+	q, _ := http.NewRequestWithContext(ctx, "GET", "http://"+d.Address+"/registry/instances?follow=1&since=0", nil)
+	q.Header.Set(firstInLine, "1")
+	answer, err := http.DefaultClient.Do(q)
+	if err != nil {
+		d.rig.Log("another caller: %v", err)
+		return
+	}
+	defer answer.Body.Close()
+	for lines := bufio.NewScanner(answer.Body); lines.Scan(); {
+		if lines.Text() != "" {
+			d.rig.Log("another caller is told: %s", lines.Text())
+		}
+	}
+}
+
 // Discovery stands in for one discovery service. It counts its versions itself.
 type Discovery struct {
 	Name, Address string
@@ -37,6 +58,7 @@
 	ln     net.Listener
 	server *http.Server
 	turn   sync.Mutex // calls are handled in turn
+	conns  map[net.Conn]bool
 	// Wait, if set, says for each call how long it takes and whether it then fails.
 	Wait func(call int) (time.Duration, bool)
 
@@ -59,7 +81,14 @@
 	for _, e := range entries {
 		d.entries[e.Name] = e
 	}
-	d.server = &http.Server{Handler: http.HandlerFunc(d.serve)}
+	d.conns = map[net.Conn]bool{}
+	d.server = &http.Server{Handler: http.HandlerFunc(d.serve), ConnState: func(c net.Conn, state http.ConnState) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.conns[c] = true; state == http.StateClosed {
+			delete(d.conns, c)
+		}
+	}}
 	go d.server.Serve(ln)
 	return d, nil
 }
@@ -88,6 +117,17 @@
 	})
 }
 
+// Reset resets the open watches.
+func (d *Discovery) Reset() {
+	d.rig.Log("%s: all open watches are reset", d.Name)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c := range d.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
 // snapshot returns the whole list. d.mu is held.
 func (d *Discovery) snapshot() List {
 	l := List{Index: d.index, Snapshot: true, Endpoints: []Entry{}}
@@ -131,7 +171,7 @@
 	d.mu.Unlock()
 	d.rig.Log("%s: call %d, since %d", d.Name, call, version)
 	d.turn.Lock()
-	if d.Wait != nil {
+	if d.Wait != nil && req.Header.Get(firstInLine) == "" {
 		wait, fail := d.Wait(call)
 		time.Sleep(wait)
 		if fail {
