Review: the scripts end what they started also where nobody reads their verdict

Cause: a run whose output pipe had been closed ended by SIGPIPE when it printed its verdict, before it had ended the sidecar.

Change: processes are ended before the verdict is printed; SIGPIPE is ignored and SIGHUP handled like SIGTERM.

--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -78,7 +78,8 @@
 	ended := make(chan error, 1)
 	go func() { ended <- cases[os.Args[1]](r) }()
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // nobody may be left to read the verdict
 	select {
 	case err = <-ended:
 	case <-signals:
@@ -93,6 +94,7 @@
 		verdict, code = "could not run: "+err.Error(), 2
 	}
 	r.Log("verdict %s", verdict)
+	r.endProcesses() // before anything that may fail
 	fmt.Println("case", os.Args[1], verdict)
 	return code
 }
@@ -160,7 +162,9 @@
 
 // endProcesses ends the processes that still run, and keeps their logs in the record if KEEP_LOGS is set.
 func (r *Rig) endProcesses() {
-	for _, p := range r.processes {
+	processes := r.processes
+	r.processes = nil
+	for _, p := range processes {
 		if p.Running() {
 			p.Signal(syscall.SIGKILL)
 			<-p.ended
