Lease: a failed call to discovery no longer renews the use of an old list

Cause: Lease.RecordFailedCall took failed calls for an outage during 6.5 s after a start or a broken watch and renewed the lease with each. A call that gets a connection shows that discovery can be reached; from then on a change counts as notified after 6 s, whatever the call ends in.

Change: a failed call and a broken watch are evidence only. The state of a presumed outage is gone. Only a list, a heartbeat or a connection that does not come up renews the lease.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -5,9 +5,8 @@
 // discovery renews it, and so does proof that discovery is unreachable, because changes do not count as delivered then. When the
 // lease expires, sending is suspended until discovery reports again.
 //
-// A call that reaches discovery and fails proves nothing: under overload some calls time out while other callers are served.
-// Such a failure is presumed to be an outage only right after the start of the process or after the connection of an
-// established watch broke, and only for a limited time.
+// A call that reaches discovery and fails proves nothing, and neither does a watch that breaks: under overload some calls time
+// out while other callers are served. Only a call that gets no connection proves that discovery is unreachable.
 //
 // The package does no I/O and reads no clock: every event carries its time, on any clock that does not run backwards.
 package lease
@@ -32,30 +31,23 @@
 	return Rules{ConfirmWithin: 6 * time.Second, AfterWatchEnd: 2 * time.Second, AfterAddressChange: 6 * time.Second, DrainGrace: grace}
 }
 
-const (
-	// graceMargin is subtracted from the grace: a process may stall for 0.15 s between reading the clock and writing.
-	graceMargin = 170 * time.Millisecond
-	// maxPresumedOutage is for how long after the start or a broken watch failed calls are presumed to be an outage. It
-	// covers outages of up to 12 s. An overload that starts with a broken watch looks the same; the longer this time, the
-	// longer requests may follow a list that other callers know to be stale.
-	maxPresumedOutage = 6500 * time.Millisecond
-)
+// graceMargin is subtracted from the grace: a process may stall for 0.15 s between reading the clock and writing.
+const graceMargin = 170 * time.Millisecond
 
 // Evidence is what the last event showed about discovery.
 type Evidence uint8
 
 // The kinds of evidence.
 const (
-	Unknown        Evidence = iota // no report has arrived, and no call has reached it
-	Up                             // a list or a heartbeat arrived
-	Overloaded                     // it refused a call at once: it is up, and serves other callers
-	Unreachable                    // no connection to it could be established
-	PresumedOutage                 // every call since the start or the broken watch has failed without an answer
-	Inconclusive                   // a call failed without an answer
+	Unknown      Evidence = iota // no report has arrived, and no call has reached it
+	Up                           // a list or a heartbeat arrived
+	Overloaded                   // it refused a call at once: it is up, and serves other callers
+	Unreachable                  // no connection to it could be established
+	Inconclusive                 // a call failed without an answer, or a watch broke: it is down or overloaded
 )
 
 func (e Evidence) String() string {
-	return [...]string{"unknown", "up", "crowded", "unreachable", "presumed outage", "inconclusive"}[e]
+	return [...]string{"unknown", "up", "crowded", "unreachable", "inconclusive"}[e]
 }
 
 // Lease is the state of one subscription. The zero value has no rules and never suspends sending; see New.
@@ -63,8 +55,6 @@
 	rules          Rules
 	reportedAt     time.Duration // when the last report arrived
 	unreachableAt  time.Duration // when discovery was last proven unreachable; 0 for never
-	presumedAt     time.Duration // when it was last presumed unreachable; 0 for never
-	outageUntil    time.Duration // calls that fail before this are presumed to be an outage; 0 for none
 	evidence       Evidence
 	addressChanges []addressChange // reloads whose discovery has not reported yet, oldest first
 	watchEnded     bool            // a watch has ended normally, and the next call is not over
@@ -79,17 +69,9 @@
 }
 
 // New returns a Lease for the list that a process starts with.
-//
-// Calls that fail right after the start are treated as after a broken watch.
-func New(rules Rules, now time.Duration) *Lease {
-	return &Lease{rules: rules, reportedAt: now, outageUntil: now + maxPresumedOutage}
-}
-
-// confirmedAt is when the list was last known or presumed to be current, or discovery to be unreachable.
-func (l *Lease) confirmedAt() time.Duration { return max(l.reportedAt, l.unreachableAt, l.presumedAt) }
+func New(rules Rules, now time.Duration) *Lease { return &Lease{rules: rules, reportedAt: now} }
 
-// LastProven is when the list was last known to be current or discovery was proven unreachable. It leaves out presumed
-// outages: a successor process that started from one would presume another on top of it.
+// LastProven is when the list was last known to be current or discovery was proven unreachable.
 func (l *Lease) LastProven() time.Duration { return max(l.reportedAt, l.unreachableAt) }
 
 // LastReport is when the last report arrived, or the process started with its list.
@@ -102,7 +84,6 @@
 func (l *Lease) Confirm(now time.Duration, generation int) {
 	l.reportedAt = max(l.reportedAt, now)
 	l.evidence, l.watchEnded = Up, false
-	l.presumedAt, l.outageUntil = 0, 0
 	for len(l.addressChanges) > 0 && l.addressChanges[0].generation <= generation {
 		l.addressChanges = l.addressChanges[1:]
 	}
@@ -118,54 +99,35 @@
 	}
 }
 
-// RecordBrokenWatch records that the connection of an established watch broke, as happens when discovery goes down.
-func (l *Lease) RecordBrokenWatch(now time.Duration) {
-	if l.outageUntil == 0 {
-		l.outageUntil = now + maxPresumedOutage
-	}
-	l.evidence = PresumedOutage
-}
+// RecordBrokenWatch records that the connection of an established watch broke, as happens when discovery goes down, and when it
+// resets its watches and goes on notifying others.
+func (l *Lease) RecordBrokenWatch() { l.evidence = Inconclusive }
 
 // RecordFailedCall records that a call reached the newest discovery and was neither answered nor refused at once.
-func (l *Lease) RecordFailedCall(now time.Duration) {
-	if l.outageUntil == 0 {
-		l.evidence = Inconclusive
-		return
-	}
-	l.presumedAt = max(l.presumedAt, min(now, l.outageUntil))
-	l.watchEnded = false
-	if l.evidence = PresumedOutage; now > l.outageUntil {
-		l.evidence = Inconclusive
-	}
-}
+func (l *Lease) RecordFailedCall() { l.evidence = Inconclusive }
 
-// RecordRefusedCall records that discovery refused a call at once: it is reachable, so a presumed outage was none. That does not
-// renew the lease, but it clears the end of a watch, which shortens the lease only until the call after it is over.
-func (l *Lease) RecordRefusedCall() {
-	l.evidence, l.watchEnded = Overloaded, false
-	l.presumedAt, l.outageUntil = 0, 0
-}
+// RecordRefusedCall records that discovery refused a call at once: it is reachable. That does not renew the lease, but it clears
+// the end of a watch, which shortens the lease only until the call after it is over.
+func (l *Lease) RecordRefusedCall() { l.evidence, l.watchEnded = Overloaded, false }
 
 // RecordEndedWatch records that an established watch ended normally.
 func (l *Lease) RecordEndedWatch(now time.Duration) {
 	if !l.watchEnded {
 		l.watchEnded, l.watchEndedAt = true, now
 	}
-	l.outageUntil = 0
 }
 
 // AddressChanged records a reload that names another discovery address and returns its generation; the first address has
-// generation 0. A broken watch of the old address no longer matters.
+// generation 0.
 func (l *Lease) AddressChanged(now time.Duration) (generation int) {
 	l.generation++
 	l.addressChanges = append(l.addressChanges, addressChange{l.generation, now})
-	l.outageUntil = 0
 	return l.generation
 }
 
 // ExpiresAt is when the lease expires, and sending is suspended, if no further report arrives.
 func (l *Lease) ExpiresAt() time.Duration {
-	until := l.confirmedAt() + l.rules.ConfirmWithin
+	until := l.LastProven() + l.rules.ConfirmWithin
 	if len(l.addressChanges) > 0 {
 		until = min(until, l.addressChanges[0].at+l.rules.AfterAddressChange)
 	}
--- a/internal/subscription/handle.go
+++ b/internal/subscription/handle.go
@@ -174,12 +174,12 @@
 	switch end.Outcome {
 	case Broken, Truncated: // a truncated watch may have been ended by discovery, or show an outage
 		if wasWatching {
-			c.lease.RecordBrokenWatch(c.now)
+			c.lease.RecordBrokenWatch()
 		}
 	case Unreachable:
 		c.lease.RecordUnreachable(end.StartedAt)
 	case Failed, Unanswered:
-		c.lease.RecordFailedCall(c.now)
+		c.lease.RecordFailedCall()
 	case Refused:
 		c.lease.RecordRefusedCall()
 	}
