Stop: pools answer what comes after SIGTERM before SIGKILL may come

Cause: the span of a stop was computed twice. program.Serve capped the longest deadline at 3 s, as the platform does for SIGKILL; pools.Set.Stop did not and served on for 6.5 s.

Change: internal/shutdown alone derives both limits of a stop, for requests from before the signal and after it; transport.Server.Stop takes them.

--- a/cmd/kitewood/pools_test.go
+++ b/cmd/kitewood/pools_test.go
@@ -9,8 +9,11 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"kitewood/internal/testkit"
 )
@@ -91,3 +94,71 @@
 		t.Error(err)
 	}
 }
+
+// A sidecar with pools is told to stop while its clients send on. The classes have a deadline of 6 s, so it may be killed after 3.7 s:
+// by then it has ended, and each request that came later than 0.7 s after the signal and has run was answered. Guards against a
+// stop that follows the longest deadline alone.
+func TestPoolsStopBeforeTheKill(t *testing.T) {
+	const (
+		excused = 700 * time.Millisecond // after the signal: requests that came until then may be lost
+		kill    = 3*time.Second + excused
+		clients = 8
+	)
+	var ran sync.Map
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ran.Store(r.Header.Get("X-Correlation-Id"), true)
+		time.Sleep(300 * time.Millisecond)
+	}))
+	defer endpoint.Close()
+	address, dir := testkit.ReserveAddress(t), t.TempDir()
+	writeFile(t, filepath.Join(dir, "a.yaml"), fmt.Sprintf("destinations: [{name: x, address: %q}]\n", endpoint.Listener.Addr()))
+	config := filepath.Join(dir, "c.yaml")
+	writeFile(t, config, fmt.Sprintf("name: edge\nlisteners: [{address: %q}]\npools:\n  - {name: a, members: {file: a.yaml}, classes: [{name: pay, effect: unsafe, aim: 2500ms, deadline: 6s}]}\n"+
+		"routes: [{path: /, pool: a}]\n", address))
+	process := exec.Command(binary, "serve", "--config", config)
+	if err := process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	testkit.WaitUntil(t, "the sidecar is ready", func() bool { return isReady(address) })
+	var stopped atomic.Pointer[time.Time]
+	var lost, late atomic.Int32
+	var running sync.WaitGroup
+	for n := range clients {
+		running.Go(func() {
+			transport := &http.Transport{}
+			defer transport.CloseIdleConnections()
+			for i := 0; ; i++ {
+				request, _ := http.NewRequest("POST", "http://"+address+"/pay", strings.NewReader("x"))
+				id := fmt.Sprintf("%d-%d", n, i)
+				request.Header.Set("X-Correlation-Id", id)
+				sent := time.Now()
+				response, err := transport.RoundTrip(request)
+				signal := stopped.Load()
+				isLate := signal != nil && sent.Sub(*signal) > excused
+				if err != nil {
+					if _, hasRun := ran.Load(id); hasRun && isLate {
+						lost.Add(1)
+					}
+					return
+				}
+				response.Body.Close()
+				if isLate {
+					late.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	now := time.Now()
+	stopped.Store(&now)
+	process.Process.Signal(syscall.SIGTERM)
+	killer := time.AfterFunc(kill, func() { process.Process.Kill() })
+	defer killer.Stop()
+	if err := process.Wait(); err != nil {
+		t.Errorf("the sidecar was still running %v after SIGTERM: %v", kill, err)
+	}
+	running.Wait()
+	if lost.Load() > 0 || late.Load() == 0 {
+		t.Errorf("of the requests that came later than %v after SIGTERM %d were answered and %d were lost, want none lost", excused, late.Load(), lost.Load())
+	}
+}
--- a/internal/pools/set.go
+++ b/internal/pools/set.go
@@ -17,6 +17,7 @@
 	"kitewood/internal/protocol"
 	"kitewood/internal/route"
 	"kitewood/internal/routing"
+	"kitewood/internal/shutdown"
 	"kitewood/internal/transport"
 )
 
@@ -209,8 +210,8 @@
 	return n
 }
 
-// Stop stops the listeners like transport.Server.Stop, within the longest deadline of a class and a margin. The classes of retired
-// pools count, too. A request that states more time than any class has is answered as failed after that.
+// Stop stops the listeners like transport.Server.Stop, within the limits for the longest deadline of a class. The classes of
+// retired pools count, too.
 func (s *Set) Stop(ctx context.Context) {
 	s.mu.Lock()
 	maxDeadline := time.Duration(0)
@@ -226,10 +227,7 @@
 	}
 	server := s.server
 	s.mu.Unlock()
-	within := maxDeadline + retireMargin/2
-	ctx, cancel := context.WithTimeout(ctx, within)
-	defer cancel()
-	server.Stop(ctx, within, lns...)
+	server.Stop(ctx, shutdown.LimitsFor(maxDeadline), lns...)
 }
 
 // ConfigureRuntime sets the runtime's processor count, garbage collection and memory limit for the given resources.
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -15,6 +15,7 @@
 	"kitewood/internal/guard"
 	"kitewood/internal/pools"
 	"kitewood/internal/routing"
+	"kitewood/internal/shutdown"
 	"kitewood/internal/transport"
 )
 
@@ -93,9 +94,7 @@
 	}
 	ctx, cancelDrain := untilSecondSignal(ctx, signals, log)
 	defer cancelDrain()
-	drainCtx, cancelTimeout := context.WithTimeout(ctx, maxDeadline+stopMargin) // a request that states more time than its class has fails then
-	defer cancelTimeout()
-	server.Stop(drainCtx, min(maxDeadline, maxStopWait)+stopMargin, ln)
+	server.Stop(ctx, shutdown.LimitsFor(maxDeadline), ln)
 	if v, ok := loop.View(viewTimeout); ok {
 		log.Info("counts", "requests", &v.Metrics, "connections", server.CloseCounts(), "violations", invariants.Violations(), "denials", invariants.Denials(),
 			"discovery", discovery.State())
--- a/internal/program/signals.go
+++ b/internal/program/signals.go
@@ -10,13 +10,6 @@
 	"kitewood/internal/yamlfile"
 )
 
-// After the signal to stop, a sidecar is not killed before the longest deadline of a class, or 3 s if that is shorter, plus 0.7 s.
-// Requests that come after the signal are answered before that, those that came earlier by their own deadlines.
-const (
-	maxStopWait = 3 * time.Second
-	stopMargin  = 500 * time.Millisecond
-)
-
 // untilSecondSignal returns a context for the drain that is done at a second signal to stop.
 func untilSecondSignal(ctx context.Context, signals <-chan os.Signal, log *slog.Logger) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/transport/inputqueue_test.go
+++ b/internal/transport/inputqueue_test.go
@@ -141,7 +141,7 @@
 			time.Sleep(100 * time.Millisecond)
 			const within = 600 * time.Millisecond
 			began := time.Now()
-			srv.Stop(t.Context(), within, ln)
+			srv.Stop(t.Context(), stopWithin(within), ln)
 			if took := time.Since(began); took > within+500*time.Millisecond {
 				t.Errorf("the stop took %v, want at most %v", took, within+500*time.Millisecond)
 			}
--- a/internal/transport/race_test.go
+++ b/internal/transport/race_test.go
@@ -329,7 +329,7 @@
 		waiting = append(waiting, r)
 	}
 	stopped := make(chan struct{})
-	go func() { srv.Stop(context.Background(), 600*time.Millisecond, delayed); close(stopped) }()
+	go func() { srv.Stop(context.Background(), stopWithin(600*time.Millisecond), delayed); close(stopped) }()
 	for i, r := range waiting {
 		if status, _ := readResponse(t, r); status != "200" && status != "503" || i < 4 && status != "200" {
 			t.Errorf("client %d: response status %s", i, status)
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -15,6 +15,7 @@
 	"kitewood/internal/guard"
 	"kitewood/internal/protocol"
 	"kitewood/internal/routing"
+	"kitewood/internal/shutdown"
 )
 
 // Server accepts client connections on its listeners and serves the requests that come on them. It is ready as soon as it serves
@@ -220,12 +221,15 @@
 // pastDeadline returns a read deadline in the past, which wakes up a blocked read.
 func pastDeadline() time.Time { return time.Unix(1, 0) }
 
-// Stop drains the Server. For two thirds of the given time requests are served as before: clients keep their connections, as there
-// may be no other sidecar for them and a successor starts no sooner if this process ends early. Then it accepts the connections that
-// still wait in the accept queue, closes idle ones and waits until every request has its answer. Requests received since the call are
-// answered within the given time. Those received before keep their deadlines, which may lie beyond it. Once the context is done, open
-// requests are answered as failed at once.
-func (s *Server) Stop(ctx context.Context, within time.Duration, lns ...net.Listener) {
+// Stop drains the Server. For two thirds of the time that later requests have, requests are served as before: clients keep their
+// connections, as there may be no other sidecar for them and a successor starts no sooner if this process ends early. Then it accepts
+// the connections that still wait in the accept queue, closes idle ones and waits until every request has its answer. Requests
+// received since the call are answered within limits.LaterRequests. Those received before keep their deadlines, and are answered as
+// failed after limits.EarlierRequests. Once the context is done, all open requests are.
+func (s *Server) Stop(ctx context.Context, limits shutdown.Limits, lns ...net.Listener) {
+	within := limits.LaterRequests
+	ctx, cancelEarlier := context.WithTimeout(ctx, limits.EarlierRequests)
+	defer cancelEarlier()
 	s.drainDeadline.Store(int64(s.clock.Now() + within - deadlineGrace))
 	s.draining.Store(true)
 	s.stopRequestedAt.Store(int64(s.clock.Now())) // after draining is set: a request received later than this has seen it
--- a/internal/transport/stop_test.go
+++ b/internal/transport/stop_test.go
@@ -12,8 +12,14 @@
 	"time"
 
 	"kitewood/internal/protocol"
+	"kitewood/internal/shutdown"
 )
 
+// stopWithin returns the limits of a stop that later requests delay for at most d, and earlier ones for much longer.
+func stopWithin(d time.Duration) shutdown.Limits {
+	return shutdown.Limits{LaterRequests: d, EarlierRequests: time.Minute}
+}
+
 // The sidecar stops while its only endpoint never answers, and clients send on every open connection until it is closed: each
 // request that was taken gets its answer, and the last one comes before the process may be killed.
 func TestStopAnswersAllConnections(t *testing.T) {
@@ -46,7 +52,7 @@
 	}
 	time.Sleep(100 * time.Millisecond)
 	began := time.Now()
-	srv.Stop(t.Context(), within, ln)
+	srv.Stop(t.Context(), stopWithin(within), ln)
 	running.Wait()
 	if took := time.Since(began); took > within+200*time.Millisecond {
 		t.Errorf("the last answer came after %v, want at most %v", took, within+200*time.Millisecond)
@@ -81,7 +87,7 @@
 			io.WriteString(conn, earlierRequest)
 			time.Sleep(100 * time.Millisecond)
 			stopped := make(chan time.Time, 1)
-			go func() { srv.Stop(context.Background(), within, ln); stopped <- time.Now() }()
+			go func() { srv.Stop(context.Background(), stopWithin(within), ln); stopped <- time.Now() }()
 			status, _ := readResponse(t, r)
 			answered := time.Now()
 			if took := answered.Sub(sent); status != c.wantStatus || took < c.wantAfter || took > c.wantAfter+500*time.Millisecond {
@@ -110,7 +116,7 @@
 	io.WriteString(conn, earlierRequest)
 	time.Sleep(100 * time.Millisecond)
 	stopRequested := time.Now()
-	go srv.Stop(context.Background(), within, ln)
+	go srv.Stop(context.Background(), stopWithin(within), ln)
 	time.Sleep(50 * time.Millisecond)
 	io.WriteString(conn, strings.Replace(earlierRequest, "Id: e", "Id: f", 1))
 	for n := range 2 {
@@ -129,7 +135,7 @@
 	time.Sleep(100 * time.Millisecond)
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
-	go func() { srv.Stop(ctx, time.Minute, ln); close(stopped) }()
+	go func() { srv.Stop(ctx, stopWithin(time.Minute), ln); close(stopped) }()
 	time.Sleep(50 * time.Millisecond)
 	cancelled := time.Now()
 	cancel()
