Lease: a reload that moves discovery counts after 4 s, also where lists are asked for

Callers saw: after SIGHUP moved discovery and the new one refused calls, requests went to a draining server 2.3 s after the drain counted as notified (0.55 s allowed), while the old watch went on without it.

Cause: lease.PullRules allowed 6 s after a reload. What discovery has to tell counts 4 s after SIGHUP in both modes.

Evidence: the new case of TestStaleListIsNotUsed failed on the code before (2.32 s) and passes now, one run each. TestLease and TestStories checked the 6 s; their times follow the rule.

--- a/cmd/kitewood/stalelist_test.go
+++ b/cmd/kitewood/stalelist_test.go
@@ -22,7 +22,7 @@
 	drainGrace         = 550 * time.Millisecond // after the sidecar was notified, with the tolerance for sockets
 	confirmWithin      = 6 * time.Second        // a change counts as notified this long after discovery had it and was reachable,
 	confirmAfterEnd    = 2 * time.Second        // this long after a watch ended in order instead of sending it,
-	confirmAfterReload = 4 * time.Second        // and, in push mode, this long after a reload
+	confirmAfterReload = 4 * time.Second        // and this long after a reload that names another discovery
 )
 
 // leaseDuration is for how long a sidecar serves by a list that nobody confirms, with the smallest grace that the tests configure.
@@ -404,6 +404,13 @@
 			s.checkDrainHonoured(confirmWithin)
 			s.checkServedShare(0.5)
 		},
+		// The new discovery knows of a drain; a watch of the old one goes on without it. Guards against 6 s in place of 4 s.
+		"reload to a discovery that rejects calls, the old one goes on": func(s *staleListTest) {
+			next := s.discovery(drainFrom(silence))
+			s.run(func(c *watchCall) { c.send(s.list(1, "Ready")); c.keepAlive(99 * time.Second) }, func() { s.reload(next) }, silence+2*time.Second)
+			s.checkDrainHonoured(confirmAfterReload)
+			s.checkServedUntil(confirmAfterReload - 100*time.Millisecond)
+		},
 		"push mode: reload to an agent that responds late": func(s *staleListTest) {
 			s.listMode = "push"
 			next := s.discovery(drainFrom(6 * time.Second))
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -28,7 +28,7 @@
 
 // PullRules returns the rules for a sidecar that requests its lists.
 func PullRules(grace time.Duration) Rules {
-	return Rules{ConfirmWithin: 6 * time.Second, AfterWatchEnd: 2 * time.Second, AfterAddressChange: 6 * time.Second, DrainGrace: grace}
+	return Rules{ConfirmWithin: 6 * time.Second, AfterWatchEnd: 2 * time.Second, AfterAddressChange: 4 * time.Second, DrainGrace: grace}
 }
 
 // graceMargin is subtracted from the grace: a process may stall for 0.15 s between reading the clock and writing.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -37,11 +37,11 @@
 		"an ended watch until the next call is refused": {pull, []testEvent{{"heard", 1, 0, 7 + g}, {"ended", 2, 0, 4 + g}, {"refused", 3, 0, 7 + g}}},
 		"a second end does not extend it":               {pull, []testEvent{{"heard", 1, 0, 7 + g}, {"ended", 2, 0, 4 + g}, {"ended", 3, 0, 4 + g}}},
 		"push: an ended watch counts at once":           {push, []testEvent{{"heard", 1, 0, 7 + g}, {"ended", 2, 0, 2 + g}}},
-		"a reload is not confirmed by the old address": {pull, []testEvent{{"heard", 1, 0, 7 + g}, {"moved", 2, 0, 7 + g}, {"heard", 5, 0, 8 + g},
+		"a reload is not confirmed by the old address": {pull, []testEvent{{"heard", 1, 0, 7 + g}, {"moved", 2, 0, 6 + g}, {"heard", 5, 0, 6 + g},
 			{"heard", 7, 1, 13 + g}}},
-		"consecutive reloads count from the first unconfirmed one": {pull, []testEvent{{"moved", 1, 0, 6 + g}, {"heard", 2, 0, 7 + g},
-			{"moved", 3, 0, 7 + g}, {"heard", 4, 1, 9 + g}, {"heard", 5, 2, 11 + g}}},
-		"push: a reload counts sooner":       {push, []testEvent{{"heard", 1, 0, 7 + g}, {"moved", 2, 0, 6 + g}, {"heard", 3, 0, 6 + g}}},
+		"consecutive reloads count from the first unconfirmed one": {pull, []testEvent{{"moved", 1, 0, 5 + g}, {"heard", 2, 0, 5 + g},
+			{"moved", 3, 0, 5 + g}, {"heard", 4, 1, 7 + g}, {"heard", 5, 2, 11 + g}}},
+		"push: a reload counts alike":        {push, []testEvent{{"heard", 1, 0, 7 + g}, {"moved", 2, 0, 6 + g}, {"heard", 3, 0, 6 + g}}},
 		"a reload to an unreachable address": {push, []testEvent{{"moved", 2, 0, 6 + g}, {"unreachable", 6, 3, 7 + g}}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/subscription/core_test.go
+++ b/internal/subscription/core_test.go
@@ -229,7 +229,7 @@
 // reloaded is the beginning of a story in which a reload at 5 s names address b while a watch is open.
 func reloaded(steps ...step) []step {
 	return watching(append([]step{
-		{5, AddressChanged{"b"}, "lease until 10.33s; open 1 at b; 1 waits 50ms", "0 watching superseded, 1 debouncing"},
+		{5, AddressChanged{"b"}, "lease until 9.33s; open 1 at b; 1 waits 50ms", "0 watching superseded, 1 debouncing"},
 		{5.05, TimerFired{1}, "1 waits 50ms", "0 watching superseded, 1 debouncing"},
 	}, steps...)...)
 }
@@ -241,7 +241,7 @@
 			step{6.58, TimerFired{1}, "1 waits 20ms", "0 watching superseded, 1 debouncing"},
 			step{6.6, TimerFired{1}, "call 2 of 1 at b since 0", "0 watching superseded, 1 calling"},
 			step{7, ListReceived{0, 1, 9}, "deliver", "0 watching superseded, 1 calling"},
-			step{7, Reported{0}, "lease until 11.33s", "0 watching superseded, 1 calling"}, // no longer than 6 s after the reload
+			step{7, Reported{0}, "lease until 9.33s", "0 watching superseded, 1 calling"}, // no longer than 4 s after the reload
 			step{8, ListReceived{1, 2, 3}, "close 0: " + elsewhere + "; deliver", "1 watching"},
 			step{8, Reported{1}, "lease until 14.33s", "1 watching"},
 			step{8.1, Reported{0}, "", "1 watching"},
@@ -251,18 +251,18 @@
 			step{21.59, TimerFired{2}, "2 waits 10ms", "1 watching superseded, 2 debouncing"},
 		)},
 		{name: "the old watch breaks while further reloads are awaited: the call follows at once", steps: reloaded(
-			step{5.1, ended(0, Broken, 5.1, 3.5), "lease until 10.33s; 0 broken since 8: up, next 1.6s, superseded; source lost; close 0: " + elsewhere, "1 debouncing"},
+			step{5.1, ended(0, Broken, 5.1, 3.5), "lease until 9.33s; 0 broken since 8: up, next 1.6s, superseded; source lost; close 0: " + elsewhere, "1 debouncing"},
 			step{5.1, TimerFired{1}, "call 2 of 1 at b since 0", "1 calling"},
-			step{5.11, ended(1, Unreachable, 5.11, 0.01), "lease until 11.43s; 1 unreachable since 0: unreachable, next 100ms; source lost; 1 waits 100ms", "1 pausing"},
+			step{5.11, ended(1, Unreachable, 5.11, 0.01), "lease until 9.43s; 1 unreachable since 0: unreachable, next 100ms; source lost; 1 waits 100ms", "1 pausing"},
 			step{5.21, TimerFired{1}, "call 3 of 1 at b since 0", "1 calling"},
-			step{5.22, ended(1, Unreachable, 5.22, 0.01), "lease until 11.54s; 1 unreachable since 0: unreachable, next 200ms; source lost; 1 waits 200ms", "1 pausing"},
+			step{5.22, ended(1, Unreachable, 5.22, 0.01), "lease until 9.54s; 1 unreachable since 0: unreachable, next 200ms; source lost; 1 waits 200ms", "1 pausing"},
 			step{9.11, TimerFired{1}, "call 4 of 1 at b since 0", "1 calling"}, // over 4 s after its first call
-			step{9.12, ended(1, Unreachable, 9.12, 0.01), "lease until 15.44s; 1 unreachable since 0: unreachable, next 1.6s; source lost; 1 waits 1.6s", "1 pausing"},
+			step{9.12, ended(1, Unreachable, 9.12, 0.01), "lease until 13.44s; 1 unreachable since 0: unreachable, next 1.6s; source lost; 1 waits 1.6s", "1 pausing"},
 		)},
 		{name: "the old watch ends in order after the new call has failed", steps: reloaded(
 			step{6.6, TimerFired{1}, "call 2 of 1 at b since 0", "0 watching superseded, 1 calling"},
-			step{8.6, ended(1, Failed, 8.6, 2), "lease until 10.33s; 1 failed since 0: inconclusive, next 1.6s; 1 waits 1.6s", "0 watching superseded, 1 pausing"},
-			step{8.7, ended(0, Ended, 8.7, 7.1), "lease until 10.33s; 0 ended in order since 8: inconclusive, next 50ms, superseded; source lost; close 0: " + elsewhere, "1 pausing"},
+			step{8.6, ended(1, Failed, 8.6, 2), "lease until 9.33s; 1 failed since 0: inconclusive, next 1.6s; 1 waits 1.6s", "0 watching superseded, 1 pausing"},
+			step{8.7, ended(0, Ended, 8.7, 7.1), "lease until 9.33s; 0 ended in order since 8: inconclusive, next 50ms, superseded; source lost; close 0: " + elsewhere, "1 pausing"},
 		)},
 	}
 }
@@ -271,8 +271,8 @@
 func repeatedReloadStories() []story {
 	return []story{
 		{name: "several reloads in a row: the addresses in between are not called, and the last waits for 2 s after the first at most", steps: reloaded(
-			step{5.5, AddressChanged{"c"}, "close 1: " + elsewhere + "; lease until 10.33s; open 2 at c; 2 waits 50ms", "0 watching superseded, 2 debouncing"},
-			step{6.9, AddressChanged{"d"}, "close 2: " + elsewhere + "; lease until 10.33s; open 3 at d; 3 waits 50ms", "0 watching superseded, 3 debouncing"},
+			step{5.5, AddressChanged{"c"}, "close 1: " + elsewhere + "; lease until 9.33s; open 2 at c; 2 waits 50ms", "0 watching superseded, 2 debouncing"},
+			step{6.9, AddressChanged{"d"}, "close 2: " + elsewhere + "; lease until 9.33s; open 3 at d; 3 waits 50ms", "0 watching superseded, 3 debouncing"},
 			step{7, TimerFired{1}, "", "0 watching superseded, 3 debouncing"},
 			step{7.57, TimerFired{3}, "3 waits 30ms", "0 watching superseded, 3 debouncing"},
 			step{7.6, TimerFired{3}, "call 2 of 3 at d since 0", "0 watching superseded, 3 calling"},
@@ -280,27 +280,27 @@
 		)},
 		{name: "reloads without a watch are called at once, and the oldest pending call gives way", steps: []step{
 			{0, Started{7}, "open 0 at a; 0 waits 1.6s", "0 initial delay"},
-			{0.5, AddressChanged{"b"}, "close 0: " + elsewhere + "; lease until 6.33s; open 1 at b; 1 waits 0s", "1 debouncing"},
+			{0.5, AddressChanged{"b"}, "close 0: " + elsewhere + "; lease until 4.83s; open 1 at b; 1 waits 0s", "1 debouncing"},
 			{0.5, TimerFired{1}, "call 1 of 1 at b since 0", "1 calling"},
-			{0.6, AddressChanged{"c"}, "lease until 6.33s; open 2 at c; 2 waits 0s", "1 calling superseded, 2 debouncing"},
+			{0.6, AddressChanged{"c"}, "lease until 4.83s; open 2 at c; 2 waits 0s", "1 calling superseded, 2 debouncing"},
 			{0.6, TimerFired{2}, "call 2 of 2 at c since 0", "1 calling superseded, 2 calling"},
-			{0.7, AddressChanged{"d"}, "lease until 6.33s; open 3 at d; 3 waits 0s", "1 calling superseded, 2 calling superseded, 3 debouncing"},
+			{0.7, AddressChanged{"d"}, "lease until 4.83s; open 3 at d; 3 waits 0s", "1 calling superseded, 2 calling superseded, 3 debouncing"},
 			{0.7, TimerFired{3}, "call 3 of 3 at d since 0", "1 calling superseded, 2 calling superseded, 3 calling"},
-			{0.8, AddressChanged{"e"}, "close 1: too many subscriptions pending after reloads; lease until 6.33s; open 4 at e; 4 waits 0s",
+			{0.8, AddressChanged{"e"}, "close 1: too many subscriptions pending after reloads; lease until 4.83s; open 4 at e; 4 waits 0s",
 				"2 calling superseded, 3 calling superseded, 4 debouncing"},
 			{0.8, TimerFired{4}, "call 4 of 4 at e since 0", "2 calling superseded, 3 calling superseded, 4 calling"},
-			{2.6, ended(2, Failed, 2.6, 2), "lease until 6.33s; 2 failed since 0: unknown, next 1.6s, superseded; source lost; close 2: " + elsewhere,
+			{2.6, ended(2, Failed, 2.6, 2), "lease until 4.83s; 2 failed since 0: unknown, next 1.6s, superseded; source lost; close 2: " + elsewhere,
 				"3 calling superseded, 4 calling"},
 			{2.7, ListReceived{3, 3, 5}, "deliver", "3 watching superseded, 4 calling"},
 			{2.8, CallCancelled{3}, "close 3: " + elsewhere, "4 calling"},
 		}},
 		{name: "the watch of an older address outlives the calls of later ones", steps: reloaded(
 			step{6.6, TimerFired{1}, "call 2 of 1 at b since 0", "0 watching superseded, 1 calling"},
-			step{6.7, AddressChanged{"c"}, "lease until 10.33s; open 2 at c; 2 waits 50ms", "0 watching superseded, 1 calling superseded, 2 debouncing"},
-			step{7, AddressChanged{"d"}, "close 2: too many subscriptions pending after reloads; lease until 10.33s; open 3 at d; 3 waits 50ms",
+			step{6.7, AddressChanged{"c"}, "lease until 9.33s; open 2 at c; 2 waits 50ms", "0 watching superseded, 1 calling superseded, 2 debouncing"},
+			step{7, AddressChanged{"d"}, "close 2: too many subscriptions pending after reloads; lease until 9.33s; open 3 at d; 3 waits 50ms",
 				"0 watching superseded, 1 calling superseded, 3 debouncing"},
 			step{7.6, TimerFired{3}, "call 3 of 3 at d since 0", "0 watching superseded, 1 calling superseded, 3 calling"},
-			step{7.7, AddressChanged{"e"}, "close 1: too many subscriptions pending after reloads; lease until 10.33s; open 4 at e; 4 waits 0s",
+			step{7.7, AddressChanged{"e"}, "close 1: too many subscriptions pending after reloads; lease until 9.33s; open 4 at e; 4 waits 0s",
 				"0 watching superseded, 3 calling superseded, 4 debouncing"},
 		)},
 		{name: "a reload during a pause with a silent watch", steps: watching(
@@ -311,7 +311,7 @@
 			step{7, SilentWatchEnded{0, 1}, "", "1 debouncing"},
 		)},
 		{name: "a reload before the start", steps: []step{
-			{1, AddressChanged{"b"}, "lease until 6.33s; open 1 at b; 1 waits 0s", "1 debouncing"},
+			{1, AddressChanged{"b"}, "lease until 5.33s; open 1 at b; 1 waits 0s", "1 debouncing"},
 			{1, Started{7}, "", "1 debouncing"},
 			{1, TimerFired{1}, "call 1 of 1 at b since 0", "1 calling"},
 		}},
