Protocol: a request has at most 128 header fields, so that heads cost what they weigh

Cause: heads were limited by their bytes alone. Parsed, 16 KiB of fields of a few bytes are some 0.3 MB of map entries, strings and slices each.

Change: the parser counts the lines of a request's head before it parses them, and answers 431 beyond 128 fields.

TestRequestFieldsAreBounded.

--- a/cmd/kitewood/main_test.go
+++ b/cmd/kitewood/main_test.go
@@ -45,6 +45,11 @@
 
 // startTestbed starts a sidecar with its endpoint and its discovery, and waits until it is ready.
 func startTestbed(t *testing.T) *testbed {
+	return startTestbedWith(t, func(config string) string { return config })
+}
+
+// startTestbedWith is startTestbed with a change of the configuration.
+func startTestbedWith(t *testing.T, change func(config string) string) *testbed {
 	b := &testbed{t: t, requests: make(chan string, 99), release: make(chan struct{}), watchedFrom: make(chan string, 99),
 		updates: make(chan string), exited: make(chan error, 1)}
 	endpoint := httptest.NewServer(http.HandlerFunc(b.serveEndpoint))
@@ -52,6 +57,7 @@
 	b.address = testkit.ReserveAddress(t)
 	b.configPath = filepath.Join(t.TempDir(), "config.json")
 	b.configText = configJSON(b.address, discovery.Listener.Addr().String(), 1024, "ask", endpointJSON(endpoint.Listener.Addr(), "Ready"))
+	b.configText = change(b.configText)
 	b.writeConfig(b.configText)
 	b.process = exec.Command(binary, "serve")
 	b.process.Env = append(os.Environ(), "ROUTER_CONFIG="+b.configPath, "ROUTER_DISCOVERY="+discovery.Listener.Addr().String())
--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -18,6 +18,9 @@
 	MaxBodyBytes = 64 << 10
 	maxLineBytes = 256 // a chunk-size line or a trailer field
 
+	// MaxRequestFields bounds the header fields of a request beside their bytes: a parsed field of a few bytes takes some hundred.
+	MaxRequestFields = 128
+
 	headBytesPerStep = 8 // in the cost of parsing a head
 	stepsPerField    = 10
 
@@ -238,6 +241,9 @@
 	if end > MaxHeadBytes {
 		return accepted, false, errorf(431, "the head is over %d bytes", MaxHeadBytes)
 	}
+	if lines := bytes.Count(p.buf[:end], []byte("\n")); !p.Responses && lines-headLinesWithoutField > MaxRequestFields {
+		return accepted, false, errorf(431, "the head has over %d fields", MaxRequestFields)
+	}
 	msg, err := parseHead(p.buf[:end], p.Responses)
 	if err != nil {
 		return accepted, false, err
@@ -251,6 +257,9 @@
 	return end - buffered, done, err
 }
 
+// headLinesWithoutField is the number of lines of a head that are no fields: the start line and the empty line at its end.
+const headLinesWithoutField = 2
+
 // consumeLine buffers bytes until a line ending in CRLF is complete and returns it without CRLF; until then it returns nil.
 func (p *Parser) consumeLine(b []byte) (int, []byte, error) {
 	at := bytes.IndexByte(b, '\n')
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -326,3 +326,19 @@
 		t.Error("truncated response was accepted as complete")
 	}
 }
+
+// A request has a bounded number of fields, whatever their size. Guards against heads whose parsed form takes many times their bytes.
+func TestRequestFieldsAreBounded(t *testing.T) {
+	for fields, want := range map[int]bool{MaxRequestFields: true, MaxRequestFields + 1: false, 1900: false} {
+		text := "GET /look HTTP/1.1\r\nHost: h\r\n"
+		for i := range fields - 1 {
+			text += fmt.Sprintf("%x:b\r\n", i)
+		}
+		var parser Parser
+		_, msg, err := parser.Feed([]byte(text + "\r\n"))
+		var e *Error
+		if errors.As(err, &e); (msg != nil) != want || !want && (e == nil || e.Status != 431) {
+			t.Errorf("%d fields: accepted %v, error %v", fields, msg != nil, err)
+		}
+	}
+}
