Transport: input beyond the read-ahead limit is left unread, not dropped

Cause: clientConn.bufferRead kept up to 80 KiB for each connection, whatever all of them held, and dropped what came beyond that with whole requests.

Change: a connection buffers 16 KiB ahead, and up to 512 KiB while all together hold under an eighth of the memory; then it stops reading until the response is written and looks at its client every 25 ms. Bytes that may have waited count as sent when reading paused, so no server is given more time than its client has.

--- a/cmd/kitewood/clientmemory_test.go
+++ b/cmd/kitewood/clientmemory_test.go
@@ -67,6 +67,13 @@
 		fmt.Fprintf(conn, "POST /pay/echo HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: %s\r\n%sContent-Length: 65000\r\n\r\n%s", id, head.String(),
 			strings.Repeat("x", 64000))
 	}},
+	{"large answers that are read slowly", func(conn net.Conn, id string) {
+		conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+		body := strings.Repeat("x", 64000)
+		for i := range 20 {
+			fmt.Fprintf(conn, "POST /pay/echo HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: %s-%d\r\nContent-Length: 64000\r\n\r\n%s", id, i, body)
+		}
+	}},
 	{"large requests, and further ones behind them", func(conn net.Conn, id string) {
 		body := strings.Repeat("x", 60000)
 		fmt.Fprintf(conn, "POST /pay/never HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: %s\r\nContent-Length: 60000\r\n\r\n%s", id, body)
--- a/internal/transport/budget.go
+++ b/internal/transport/budget.go
@@ -5,11 +5,12 @@
 
 import "sync"
 
-// Budget divides the file descriptors of the process between its uses.
+// Budget divides the file descriptors and the memory of the process between their uses.
 type Budget struct {
-	ClientConns   int // client connections that are served
-	OverflowConns int // further client connections, whose requests are answered "busy"
-	UpstreamConns int // connections to endpoints
+	ClientConns    int   // client connections that are served
+	OverflowConns  int   // further client connections, whose requests are answered "busy"
+	UpstreamConns  int   // connections to endpoints
+	ReadAheadBytes int64 // that client connections buffer of requests sent ahead of responses, beyond a small amount each
 }
 
 // reservedDescriptors is kept for the standard streams, the poller, the listener, the discovery watches and files.
@@ -22,13 +23,16 @@
 // maximum size.
 const maxClientConnBytes = 192 << 10
 
+// readAheadFraction is the reciprocal of the share of memory for requests sent ahead of responses.
+const readAheadFraction = 8
+
 // NewBudget divides the descriptors that a process may hold. A request holds one client connection and at most one upstream
 // connection at a time. Upstream connections that are being closed hold their descriptor a little longer, so they get the
 // larger part.
 func NewBudget(sockets int, memory int64) Budget {
 	// The overflow scales with the total: a fixed number that suits 1,024 descriptors left only seven client connections out
 	// of 64.
-	b := Budget{OverflowConns: min(2+sockets/64, 16)}
+	b := Budget{OverflowConns: min(2+sockets/64, 16), ReadAheadBytes: memory / readAheadFraction}
 	free := max(sockets-reservedDescriptors-b.OverflowConns, 2)
 	b.ClientConns = free * 9 / 20
 	b.UpstreamConns = free - b.ClientConns
--- a/internal/transport/clientconn.go
+++ b/internal/transport/clientconn.go
@@ -16,33 +16,38 @@
 )
 
 const (
-	requestReadTimeout   = 2500 * time.Millisecond                       // to receive a request, from its first byte or from the accept
-	clientIdleTimeout    = 3 * time.Second                               // between two requests: many clients send one and never close
-	responseWriteTimeout = 5 * time.Second                               // to write a response to a client that does not read it
-	deadlineGrace        = 25 * time.Millisecond                         // after a request's deadline, before the connection answers by itself
-	maxReadAhead         = protocol.MaxHeadBytes + protocol.MaxBodyBytes // bytes buffered while a response is pending
-	lingerTimeout        = 500 * time.Millisecond                        // for the client to close its side
-	readMergeWindow      = 5 * time.Millisecond                          // reads within it share a timestamp
-	shortLingerTimeout   = 50 * time.Millisecond                         // replaces lingerTimeout while another client, or the end of the process, waits for it
+	requestReadTimeout   = 2500 * time.Millisecond // to receive a request, from its first byte or from the accept
+	clientIdleTimeout    = 3 * time.Second         // between two requests: many clients send one and never close
+	responseWriteTimeout = 5 * time.Second         // to write a response to a client that does not read it
+	deadlineGrace        = 25 * time.Millisecond   // after a request's deadline, before the connection answers by itself
+	minReadAhead         = 16 << 10                // bytes that each connection may buffer while a response is pending, and one read more
+	maxReadAhead         = 512 << 10               // bytes that one may buffer while all together are within their limit
+	unreadCheckInterval  = 25 * time.Millisecond   // between looks at a client whose input is left unread
+	idleAfterPause       = 100 * time.Millisecond  // without input: the client has written nothing that is still unread
+	lingerTimeout        = 500 * time.Millisecond  // for the client to close its side
+	readMergeWindow      = 5 * time.Millisecond    // reads within it share a timestamp
+	shortLingerTimeout   = 50 * time.Millisecond   // replaces lingerTimeout while another client, or the end of the process, waits for it
 )
 
 // clientConn is one client connection. A single goroutine serves and closes it; others may only ask it to close. While a
 // request is in flight that goroutine keeps reading, as nothing else shows that the client has disconnected. The answer wakes it
 // up by moving its read deadline into the past.
 type clientConn struct {
-	server            *Server
-	conn              net.Conn
-	overBudget        bool // accepted beyond the budget: its requests are answered "busy"
-	parser            protocol.Parser
-	readAhead         []byte     // read from the connection and not yet parsed
-	readMarks         []readMark // when the bytes of readAhead, and those parsed last, were read
-	bytesRead         int        // in total
-	requestEnd        int        // offset behind the most recently parsed request
-	closing           bool       // the connection closes once all that was read is answered
-	readsNoMore       bool       // it closes without another read
-	readAheadExceeded bool       // the client sent more than is buffered: the connection closes after its next response
-	begun             bool       // something that it sent was parsed
-	credit            credit     // for the work of parsing its input
+	server        *Server
+	conn          net.Conn
+	overBudget    bool // accepted beyond the budget: its requests are answered "busy"
+	parser        protocol.Parser
+	readAhead     []byte     // read from the connection and not yet parsed
+	readMarks     []readMark // when the bytes of readAhead, and those parsed last, were read
+	bytesRead     int        // in total
+	requestEnd    int        // offset behind the most recently parsed request
+	closing       bool       // the connection closes once all that was read is answered
+	readsNoMore   bool       // it closes without another read
+	readAheadSize int        // bytes counted for the buffer of readAhead
+	unreadSince   time.Time  // when reading was paused, if bytes from then on may be unread; zero for none
+	emptySince    time.Time  // since when nothing was unread; zero if there was something
+	begun         bool       // something that it sent was parsed
+	credit        credit     // for the work of parsing its input
 
 	state          clientState // guarded by server.mu, as are since, closeRequested and closable
 	since          time.Time   // when the state, or the request being received, began
@@ -104,7 +109,9 @@
 		}
 		if !c.parser.Idle() && state != clientReading {
 			if state == clientIdle {
-				since = c.partialBegan()
+				if since = c.partialBegan(); !c.unreadSince.IsZero() { // its sender may have waited for the pause to end
+					since = time.Now()
+				}
 				readDeadline = later(since.Add(requestReadTimeout), time.Now().Add(partialRequestGrace))
 			}
 			state, requestBegan = clientReading, time.Now()
@@ -141,6 +148,7 @@
 		}
 		c.credit.spendRead(n)
 		c.bufferRead(buf[:n])
+		c.noteEmpty(n < len(buf))
 		switch {
 		case n > 0 || err == nil:
 		case errors.Is(err, os.ErrDeadlineExceeded):
@@ -210,7 +218,7 @@
 // handle answers one request and reports whether the connection stays open.
 func (c *clientConn) handle(m *protocol.Message, buf []byte) bool {
 	c.responsePending = true
-	last := func() bool { return m.Close || c.readAheadExceeded || c.closesSoon() && len(c.readAhead) == 0 }
+	last := func() bool { return m.Close || c.closesSoon() && len(c.readAhead) == 0 }
 	if path, _, _ := strings.Cut(m.StartLine[1], "?"); path == "/health/ready" {
 		r := protocol.LocalReply{Status: 200, Reason: "ready"}
 		if m.StartLine[0] != "GET" {
@@ -432,6 +440,7 @@
 	}
 	c.answerPending()
 	c.recordClose()
+	c.holdReadAhead(0)
 	c.conn.Close()
 	c.server.mu.Lock()
 	delete(c.server.conns, c)
--- a/internal/transport/clientinput.go
+++ b/internal/transport/clientinput.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"io"
 	"os"
 	"time"
 
@@ -9,30 +10,83 @@
 
 // This file holds how a client connection buffers and parses its input, and how it waits for the turns of an inputQueue.
 
-// bufferRead buffers what has been read until it is parsed. A client that sends more than the longest request ahead of its
-// response gets no answer to the excess: the connection closes after the next response. Reading goes on all the same, as
-// otherwise the client's disconnect would not be seen.
+// bufferRead buffers what has been read until it is parsed.
 func (c *clientConn) bufferRead(p []byte) {
-	if len(c.readAhead)+len(p) > maxReadAhead {
-		c.closing, c.readAheadExceeded = true, true
-		return
-	}
 	if len(p) == 0 {
 		return
 	}
 	if len(c.readAhead) == 0 { // all earlier bytes have been parsed
 		c.readMarks = c.readMarks[:0]
 	}
-	c.readAhead = append(c.readAhead, p...)
+	size := cap(c.readAhead)
+	if c.readAhead = append(c.readAhead, p...); cap(c.readAhead) > size {
+		c.holdReadAhead(cap(c.readAhead))
+	}
 	c.bytesRead += len(p)
+	arrived := c.arrivalTime()
 	// Bytes that arrive one by one share a timestamp. The time left that is reported is then a little too short, never too long.
-	if last := len(c.readMarks) - 1; last >= 0 && time.Since(c.readMarks[last].at) < readMergeWindow {
+	if last := len(c.readMarks) - 1; last >= 0 && arrived.Sub(c.readMarks[last].at) < readMergeWindow {
 		c.readMarks[last].offset = c.bytesRead
 	} else {
-		c.readMarks = append(c.readMarks, readMark{c.bytesRead, time.Now()})
+		c.readMarks = append(c.readMarks, readMark{c.bytesRead, arrived})
 	}
 }
 
+// holdReadAhead records how many bytes the connection's buffer takes of those that all connections may.
+func (c *clientConn) holdReadAhead(size int) {
+	c.server.readAheadBytes.Add(int64(size - c.readAheadSize))
+	c.readAheadSize = size
+}
+
+// readsEnough reports whether so much was read ahead that no more is read while a response is pending. As long as the process has
+// memory for it much is read: behind bytes that are left unread the client's disconnect cannot be seen.
+func (c *clientConn) readsEnough() bool {
+	n := len(c.readAhead)
+	return n >= maxReadAhead || n >= minReadAhead && c.server.readAheadBytes.Load() >= c.server.maxReadAheadBytes.Load()
+}
+
+// awaitWithoutReading waits for the answer to the request in flight, for a moment at most, and leaves what the client sends to the
+// system: it is read when the response is written. It returns io.EOF if the client is seen to have disconnected meanwhile.
+func (c *clientConn) awaitWithoutReading(deadline time.Time) error {
+	if c.unreadSince.IsZero() {
+		c.unreadSince = time.Now()
+	}
+	c.noteEmpty(peek(c.conn) == peekNothing)
+	timeout := time.NewTimer(min(time.Until(deadline), unreadCheckInterval))
+	defer timeout.Stop()
+	select {
+	case <-timeout.C:
+	case <-c.wake:
+	}
+	if clientGone(c.conn) {
+		return io.EOF
+	}
+	return os.ErrDeadlineExceeded
+}
+
+// noteEmpty records whether a look at the connection has found, or a read has left, nothing unread.
+func (c *clientConn) noteEmpty(empty bool) {
+	switch {
+	case !empty:
+		c.emptySince = time.Time{}
+	case c.emptySince.IsZero():
+		c.emptySince = time.Now()
+	}
+}
+
+// arrivalTime returns when the client may have sent what is read now. While reading is paused the client's system may hold back what
+// the client has written; it counts as sent at the pause, until nothing has come for idleAfterPause.
+func (c *clientConn) arrivalTime() time.Time {
+	now := time.Now()
+	if !c.emptySince.IsZero() && now.Sub(c.emptySince) > idleAfterPause {
+		c.unreadSince = time.Time{}
+	}
+	if c.unreadSince.IsZero() {
+		return now
+	}
+	return c.unreadSince
+}
+
 // requestReadAt returns when the last byte of the most recently parsed request was read. A client's deadline counts from there:
 // a request that was sent ahead may have waited long for the response before it.
 func (c *clientConn) requestReadAt() time.Time {
@@ -120,9 +174,11 @@
 	if peek(c.conn) != peekData {
 		return false
 	}
-	n, _ := c.conn.Read(c.server.input.readBuffer()) // the next read outside of a turn returns the error again
+	buf := c.server.input.readBuffer()
+	n, _ := c.conn.Read(buf) // the next read outside of a turn returns the error again
 	c.credit.spendRead(n)
-	c.bufferRead(c.server.input.readBuffer()[:n])
+	c.bufferRead(buf[:n])
+	c.noteEmpty(n < len(buf))
 	return n > 0
 }
 
@@ -132,6 +188,7 @@
 	c.credit.spend(steps)
 	if c.readAhead = c.readAhead[used:]; len(c.readAhead) == 0 {
 		c.readAhead = nil
+		c.holdReadAhead(0)
 	}
 	if msg != nil {
 		c.requestEnd = c.bytesRead - len(c.readAhead)
@@ -139,20 +196,27 @@
 	return msg, err
 }
 
-// readWhileWaiting reads from the connection while a request is in flight; without credit it waits for a turn first. It reports
-// whether anything was read. It returns early with an error that is os.ErrDeadlineExceeded if the answer comes.
+// readWhileWaiting reads from the connection while a request is in flight, unless enough was read ahead; without credit it waits for a
+// turn first. It reports whether anything was read. It returns early with an error that is os.ErrDeadlineExceeded if the answer comes.
 func (c *clientConn) readWhileWaiting(buf []byte, deadline time.Time) (bool, error) {
+	if c.readsEnough() {
+		return false, c.awaitWithoutReading(deadline)
+	}
 	if c.credit.available() > 0 {
 		n, err := c.conn.Read(buf)
 		c.credit.spendRead(n)
 		c.bufferRead(buf[:n])
+		c.noteEmpty(n < len(buf))
 		return n > 0, err
 	}
 	if c.awaitTurnUntil(turnContinue, deadline) != turnGranted {
 		return false, os.ErrDeadlineExceeded
 	}
 	defer c.server.input.release(time.Now())
-	return c.server.input.readPending(c.conn, c.bufferRead)
+	return c.server.input.readPending(c.conn, func(p []byte) bool {
+		c.bufferRead(p)
+		return !c.readsEnough()
+	})
 }
 
 // discardPending waits until the deadline for something to read from the connection, or without credit for a turn, and discards what
@@ -168,7 +232,7 @@
 		return false, os.ErrDeadlineExceeded
 	}
 	defer c.server.input.release(time.Now())
-	return c.server.input.readPending(c.conn, func([]byte) {})
+	return c.server.input.readPending(c.conn, func([]byte) bool { return true })
 }
 
 // awaitTurn waits for a turn and reports whether it was granted. It fails if the request is not received by the deadline, and if the
--- a/internal/transport/inputqueue.go
+++ b/internal/transport/inputqueue.go
@@ -129,9 +129,10 @@
 	return q.buffer
 }
 
-// readPending reads what has arrived on a connection, up to the limit of a turn, and passes it on in pieces. The caller has the turn.
+// readPending reads what has arrived on a connection, up to the limit of a turn, and passes it on in pieces until
+// onRead returns false. The caller has the turn.
 // It returns the error of the last read and whether anything was read.
-func (q *inputQueue) readPending(conn net.Conn, onRead func([]byte)) (read bool, err error) {
+func (q *inputQueue) readPending(conn net.Conn, onRead func([]byte) bool) (read bool, err error) {
 	buf := q.readBuffer()
 	for range turnReads {
 		if peek(conn) == peekNothing {
@@ -139,9 +140,9 @@
 		}
 		var n int
 		n, err = conn.Read(buf)
-		onRead(buf[:n])
+		more := onRead(buf[:n])
 		read = read || n > 0
-		if err != nil {
+		if err != nil || !more {
 			break
 		}
 	}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -36,13 +36,17 @@
 	descriptorWanted atomic.Bool  // an accept loop waits for a descriptor
 	drainDeadline    atomic.Int64 // while draining: when the requests received since must be answered, on the event loop's clock
 	stopRequestedAt  atomic.Int64 // when Stop was called, on the event loop's clock; 0 if it was not
-	mu               sync.Mutex   // guards the fields below
-	conns            map[*clientConn]struct{}
-	openConns        int        // of conns, those not asked to close
-	notClosable      int        // of conns, those that cannot be asked to close yet
-	openRequests     int        // submitted, and their answers not written
-	acceptLoops      int        // running calls of Serve
-	changed          *sync.Cond // a connection was closed or changed its state, the budget changed, or an accept loop ended
+	readAheadBytes   atomic.Int64 // that all client connections buffer
+	// Connections that buffer more than a usual request read no more while these many bytes are buffered.
+	maxReadAheadBytes atomic.Int64
+
+	mu           sync.Mutex // guards the fields below
+	conns        map[*clientConn]struct{}
+	openConns    int        // of conns, those not asked to close
+	notClosable  int        // of conns, those that cannot be asked to close yet
+	openRequests int        // submitted, and their answers not written
+	acceptLoops  int        // running calls of Serve
+	changed      *sync.Cond // a connection was closed or changed its state, the budget changed, or an accept loop ended
 }
 
 // Backend is a pool of endpoints as the server sees it: where a request goes, and under which conditions.
@@ -98,6 +102,7 @@
 func NewServer(clock routing.Clock, router Router, budget Budget, log *slog.Logger) *Server {
 	s := &Server{clock: clock, budget: budget, log: log, input: newInputQueue(), guard: guard.New(log), conns: map[*clientConn]struct{}{}}
 	s.changed = sync.NewCond(&s.mu)
+	s.maxReadAheadBytes.Store(budget.ReadAheadBytes)
 	s.SetRoutes(router)
 	return s
 }
@@ -113,6 +118,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.budget = budget
+	s.maxReadAheadBytes.Store(budget.ReadAheadBytes)
 	for s.openConns > s.budget.ClientConns && s.requestClose() {
 	}
 	s.changed.Broadcast()
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -61,7 +61,7 @@
 	loop.UpdateEndpoints(balance.Cached, 1, members)
 	classes := []protocol.Class{{Name: "look", Methods: []string{"GET"}, Deadline: 2 * time.Second, Keyed: set.Classes[0].Effect == balance.Keyed},
 		{Name: "pay", Methods: []string{"POST"}, Deadline: 2 * time.Second}}
-	srv := NewServer(clock, SinglePoolRouter(&Backend{Loop: loop}, classes), Budget{ClientConns: maxConns, OverflowConns: 2}, discardLog)
+	srv := NewServer(clock, SinglePoolRouter(&Backend{Loop: loop}, classes), Budget{ClientConns: maxConns, OverflowConns: 2, ReadAheadBytes: 8 << 20}, discardLog)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
