Input queue: a turn includes the answers to what is parsed in it

Cause: a turn ended with the parsing of one request. Some 24 further requests and all answers followed outside of it, longer than the pause, so the next turn was due at once: 92% of the core in clientConn.serve (CPU profile). Credit was also restored by requests that the event loop refused at once.

Change: a connection holds its turn until the turn's credit is spent or it waits for input, an endpoint or its client. Served requests restore credit.

--- a/internal/transport/clientconn.go
+++ b/internal/transport/clientconn.go
@@ -19,6 +19,7 @@
 	requestReadTimeout   = 2500 * time.Millisecond // to receive a request, from its first byte or from the accept
 	clientIdleTimeout    = 3 * time.Second         // between two requests: many clients send one and never close
 	responseWriteTimeout = 5 * time.Second         // to write a response to a client that does not read it
+	turnWriteTimeout     = time.Millisecond        // to write a response within a turn of the input queue
 	deadlineGrace        = 25 * time.Millisecond   // after a request's deadline, before the connection answers by itself
 	minReadAhead         = 16 << 10                // bytes that each connection may buffer while a response is pending, and one read more
 	maxReadAhead         = 512 << 10               // bytes that one may buffer while all together are within their limit
@@ -47,7 +48,8 @@
 	unreadSince   time.Time  // when reading was paused, if bytes from then on may be unread; zero for none
 	emptySince    time.Time  // since when nothing was unread; zero if there was something
 	begun         bool       // something that it sent was parsed
-	credit        credit     // for the work of parsing its input
+	credit        credit     // for the work that its input causes
+	turnBegan     time.Time  // when its turn of the input queue began; zero while it has none
 
 	state          clientState // guarded by server.mu, as are since, closeRequested and closable
 	since          time.Time   // when the state, or the request being received, began
@@ -138,6 +140,7 @@
 		// The deadline is set anew before each read: the wake-up of an answer may come after the answer itself was
 		// seen, and must not end a later read. It is set before the state: from then on the connection may be asked to
 		// close, and that wake-up must not be lost.
+		c.endTurn()
 		c.conn.SetReadDeadline(readDeadline)
 		c.setState(state, since)
 		n, err := c.conn.Read(buf)
@@ -285,6 +288,7 @@
 		c.conn.SetReadDeadline(pastDeadline()) // wakes up the read in awaitAnswer
 		c.wakeUp()
 	}
+	c.endTurn()
 	c.request, c.loop = req, loop
 	c.server.addOpenRequests(1)
 	defer c.server.addOpenRequests(-1)
@@ -292,7 +296,6 @@
 		c.request = nil
 		return c.reply(busy, last())
 	}
-	c.credit.refill()
 	a, connected := c.awaitAnswer(buf)
 	c.request = nil
 	if !connected {
@@ -303,6 +306,7 @@
 	close := last()
 	switch a.Verdict {
 	case routing.Served:
+		c.credit.refill() // the time that an endpoint takes bounds what such requests cost
 		served := a.Payload.(*protocol.Message)
 		return c.send(close, protocol.ResponseHead(served, close), served.Body)
 	case routing.Rejected:
@@ -387,10 +391,18 @@
 	return !last
 }
 
-// write reports whether all parts were written in time.
+// write reports whether all parts were written in time. A turn ends if the client does not take them at once.
 func (c *clientConn) write(parts ...[]byte) bool {
-	c.conn.SetWriteDeadline(time.Now().Add(responseWriteTimeout))
 	text := net.Buffers(parts)
+	if c.holdsTurn() {
+		c.conn.SetWriteDeadline(time.Now().Add(turnWriteTimeout))
+		_, err := text.WriteTo(c.conn)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err == nil
+		}
+		c.endTurn() // and text has what is left to write
+	}
+	c.conn.SetWriteDeadline(time.Now().Add(responseWriteTimeout))
 	_, err := text.WriteTo(c.conn)
 	return err == nil
 }
@@ -404,6 +416,7 @@
 		return
 	}
 	c.markClosing()
+	c.endTurn()
 	began := time.Now()
 	buf := make([]byte, 4<<10)
 	for {
@@ -439,6 +452,7 @@
 		c.reply(protocol.LocalReply{Status: 500, Reason: "failed"}, true)
 	}
 	c.answerPending()
+	c.endTurn()
 	c.recordClose()
 	c.holdReadAhead(0)
 	c.conn.Close()
--- a/internal/transport/clientinput.go
+++ b/internal/transport/clientinput.go
@@ -117,55 +117,63 @@
 }
 
 // nextRequest parses a request from the buffered bytes. It returns nil while the request is incomplete. Without credit it waits for
-// a turn before each piece.
+// a turn, in which it also reads what has arrived since.
 func (c *clientConn) nextRequest(state clientState, since, readDeadline time.Time) (*protocol.Message, error) {
 	if state == clientIdle && len(c.readAhead) > 0 {
 		readDeadline = later(readDeadline, c.partialBegan().Add(requestReadTimeout))
 	}
-	for len(c.readAhead) > 0 {
-		class := turnContinue
-		if !c.begun || c.closing {
-			class = turnBegin
-		}
-		if !c.begun && c.server.input.admitNew() || c.begun && c.credit.available() > 0 {
+	for len(c.readAhead) > 0 || c.holdsTurn() && !c.readsNoMore && c.readInTurn() {
+		if c.mayParse() {
 			c.begun = true
 			if msg, err := c.parsePiece(); msg != nil || err != nil {
 				return msg, err
 			}
 			continue
 		}
+		class := turnContinue
+		if !c.begun || c.closing {
+			class = turnBegin
+		}
+		c.endTurn()
 		granted, err := c.awaitTurn(class, since, readDeadline)
 		if err != nil {
 			return nil, err
 		}
-		if !granted {
-			continue
-		}
-		c.begun = true
-		if msg, err := c.parseInTurn(); msg != nil || err != nil {
-			return msg, err
+		if granted {
+			c.begun = true
+			c.beginTurn()
 		}
 	}
 	return nil, nil
 }
 
-// parseInTurn parses what was read and what has arrived since, with the credit of a turn, and ends the turn. What it leaves of that
-// credit is for further requests only.
-func (c *clientConn) parseInTurn() (*protocol.Message, error) {
-	defer c.server.input.release(time.Now())
+// mayParse reports whether the connection may parse now, by its turn, its credit or as a new connection.
+func (c *clientConn) mayParse() bool {
+	switch {
+	case c.holdsTurn():
+		return c.credit.steps > 0
+	case !c.begun:
+		return c.server.input.admitNew()
+	}
+	return c.credit.available() > 0
+}
+
+// holdsTurn reports whether the connection has the turn of the input queue.
+func (c *clientConn) holdsTurn() bool { return !c.turnBegan.IsZero() }
+
+// beginTurn records that the connection was granted a turn. All that it does until it waits for something belongs to the turn: the
+// requests that it parses and the replies that reach no endpoint.
+func (c *clientConn) beginTurn() {
+	c.turnBegan = time.Now()
 	c.credit.grantTurn()
-	for {
-		msg, err := c.parsePiece()
-		if msg != nil || err != nil {
-			return msg, err
-		}
-		if c.credit.steps <= 0 {
-			return nil, nil
-		}
-		if c.readsNoMore || !c.readInTurn() {
-			c.credit.steps = 0
-			return nil, nil
-		}
+}
+
+// endTurn ends the connection's turn, if it has one, with what is left of the turn's credit.
+func (c *clientConn) endTurn() {
+	if c.holdsTurn() {
+		c.server.input.release(c.turnBegan)
+		c.turnBegan = time.Time{}
+		c.credit.steps = min(c.credit.steps, 0)
 	}
 }
 
