Chain: what is kept and logged of clients' tokens and routes is small

Cause: the bound was a number alone; a name may be 1 KB, and a substring as a map key keeps the whole header.

Change: budgets and rejected routes are kept by hash, 64 routes are reported. Two tokens with one hash would share retries, never gain any.

Evidence: TestReportedRoutesAreBounded; before, 4,096 routes were reported.

--- a/cmd/kitewood/flood_test.go
+++ b/cmd/kitewood/flood_test.go
@@ -40,6 +40,8 @@
 	{"no time left", "GET /look/echo HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: flood-%d\r\nX-Time-Left-Ms: 0\r\n\r\n"},
 	{"hosts and origins", "GET /look/echo HTTP/1.1\r\nHost: h%[1]d\r\nX-Correlation-Id: flood-%[1]d\r\nX-Origin: o%[1]d\r\n\r\n"},
 	{"chain words with new tokens", "GET /look/echo HTTP/1.1\r\nHost: h\r\nX-Time-Left-Ms: 86400000\r\n" + chainFieldName +
+		": left=86400000;repeats=2;worth=1;token=" + strings.Repeat("t", 40) + "%d;via=" + strings.Repeat("v", 900) + "\r\n\r\n"},
+	{"chain words with long tokens", "GET /look/echo HTTP/1.1\r\nHost: h\r\nX-Time-Left-Ms: 86400000\r\n" + chainFieldName +
 		": left=86400000;repeats=2;worth=1;token=" + strings.Repeat("t", 900) + "%d;via=a\r\n\r\n"},
 	{"chain words with new loops", "GET /look/echo HTTP/1.1\r\nHost: h\r\n" + chainFieldName +
 		": left=1000;repeats=2;worth=1;token=t;via=edge," + strings.Repeat("v", 900) + "%d\r\n\r\n"},
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Limits are the limits that the sidecars of one service enforce.
@@ -31,9 +33,9 @@
 type Tracker struct {
 	limits         Limits
 	rng            *rand.Rand
-	budgets        map[string]*retryBudget // by token
-	creationOrder  []string                // tokens of budgets, oldest first; with similar deadlines the oldest expires first
-	reportedRoutes map[string]bool         // routes that have been rejected before
+	budgets        map[uint64]*retryBudget // by hash of the token, which may be long; two tokens that share one share its retries
+	creationOrder  []uint64                // keys of budgets, oldest first; with similar deadlines the oldest expires first
+	reportedRoutes map[uint64]bool         // hashes of routes that have been rejected before
 }
 
 // retryBudget holds the retries left for all calls with the same token.
@@ -43,13 +45,16 @@
 	active    int // requests in progress with this token
 }
 
-// maxRecords bounds the number of budgets and of rejected routes kept in memory. A request whose token exceeds it gets no
-// retries, which is safe.
-const maxRecords = 4096
+const (
+	// maxBudgets bounds the budgets kept in memory. A request whose token exceeds it gets no retries, which is safe.
+	maxBudgets = 4096
+	// maxReportedRoutes bounds the rejected routes that are reported, as a client can name ever new ones.
+	maxReportedRoutes = 64
+)
 
 // New returns a Tracker. The seed determines its tokens; two sidecars must not use the same tokens, so seeds must differ.
 func New(limits Limits, seed uint64) *Tracker {
-	return &Tracker{limits: limits, rng: rand.New(rand.NewPCG(seed, 0x636861696e)), budgets: map[string]*retryBudget{}, reportedRoutes: map[string]bool{}}
+	return &Tracker{limits: limits, rng: rand.New(rand.NewPCG(seed, 0x636861696e)), budgets: map[uint64]*retryBudget{}, reportedRoutes: map[uint64]bool{}}
 }
 
 // Entry is a request in progress at this sidecar.
@@ -75,8 +80,8 @@
 			return nil, nil, false, err
 		}
 		if rejection := t.checkRoute(e.header.Via); rejection != nil {
-			route := strings.Join(e.header.Via, ">")
-			first := !t.reportedRoutes[route] && len(t.reportedRoutes) < maxRecords
+			route := xxhash.Sum64String(strings.Join(e.header.Via, ">"))
+			first := !t.reportedRoutes[route] && len(t.reportedRoutes) < maxReportedRoutes
 			if first {
 				t.reportedRoutes[route] = true
 			}
@@ -117,15 +122,16 @@
 		delete(t.budgets, t.creationOrder[0])
 		t.creationOrder = t.creationOrder[1:]
 	}
-	budget := t.budgets[e.header.Token]
+	key := xxhash.Sum64String(e.header.Token)
+	budget := t.budgets[key]
 	if budget == nil {
 		budget = &retryBudget{retries: e.header.Retries, expiresAt: e.Deadline}
-		if len(t.budgets) >= maxRecords {
+		if len(t.budgets) >= maxBudgets {
 			budget.retries = 0
 			return budget
 		}
-		t.budgets[e.header.Token] = budget
-		t.creationOrder = append(t.creationOrder, e.header.Token)
+		t.budgets[key] = budget
+		t.creationOrder = append(t.creationOrder, key)
 	}
 	budget.active++
 	return budget
--- a/internal/chain/chain_test.go
+++ b/internal/chain/chain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -114,7 +115,7 @@
 	})
 }
 
-// Budgets are removed after they expire, and tokens beyond maxRecords get no retries.
+// Budgets are removed after they expire, and tokens beyond maxBudgets get no retries.
 func TestRecordsAreBounded(t *testing.T) {
 	tracker := New(Limits{Service: "c", MaxHops: 3, MaxRetries: 4}, 1)
 	enter := func(now time.Duration, n int) *Entry {
@@ -125,9 +126,9 @@
 		}
 		return e
 	}
-	for n := range maxRecords + 10 {
+	for n := range maxBudgets + 10 {
 		e := enter(0, n)
-		if excess := n >= maxRecords; excess != (e.Retries == 0) {
+		if excess := n >= maxBudgets; excess != (e.Retries == 0) {
 			t.Fatalf("request %d has %d retries", n, e.Retries)
 		}
 		e.Release()
@@ -136,3 +137,21 @@
 		t.Errorf("%d budgets are kept, want 1", len(tracker.budgets))
 	}
 }
+
+// Clients that name ever new routes leave little behind. Guards against a report for each route.
+func TestReportedRoutesAreBounded(t *testing.T) {
+	tracker := New(Limits{Service: "edge", MaxHops: 4, MaxRetries: 4}, 1)
+	reported := 0
+	for n := range 2 * maxBudgets {
+		_, rejection, first, err := tracker.Enter(0, fmt.Sprintf("left=1000;repeats=2;worth=1;token=t;via=edge,%s%d", strings.Repeat("v", 900), n), time.Second, 1)
+		if err != nil || rejection == nil {
+			t.Fatalf("loop %d: rejection %v, error %v", n, rejection, err)
+		}
+		if first {
+			reported++
+		}
+	}
+	if reported != maxReportedRoutes {
+		t.Errorf("%d of %d rejected routes were reported, want %d", reported, 2*maxBudgets, maxReportedRoutes)
+	}
+}
