Routing: a payment whose client left while it ran does not run again under its id

Cause: an id was known only while a request with it was open. Once the attempt of the abandoned one had ended, the next was admitted as new.

--- a/internal/routing/interfaces.go
+++ b/internal/routing/interfaces.go
@@ -31,6 +31,7 @@
 	queuedBehind    []*Request // requests with the same key that wait until the attempts of this one, which has ended, are over
 	id              balance.RequestID
 	receivedAt      time.Duration
+	abandoned       bool          // its client disconnected before the answer; owned by the Loop
 	ended           atomic.Bool   // the final answer was sent, or the request was abandoned
 	endedAt         atomic.Int64  // when it ended, or its client was seen to have disconnected; 0 for not yet
 	mayHaveRunSince time.Duration // when the earliest attempt that may have run was sent, 0 for none
--- a/internal/routing/loop.go
+++ b/internal/routing/loop.go
@@ -40,6 +40,7 @@
 	lastID           balance.RequestID
 	requests         map[balance.RequestID]*Request
 	requestsByKey    map[string]*Request // those of requests that have a key
+	undelivered      *undeliveredKeys    // shared with the Loops before and after this one
 	endpoints        endpointTable
 	lease            lease
 	expiryUpdates    atomic.Uint64 // lease expiry updates issued so far
@@ -57,7 +58,7 @@
 // New returns a Loop that is not running yet, or an error if package balance rejects the settings.
 func New(settings balance.Settings, names Names, clock Clock, log *slog.Logger) (*Loop, error) {
 	l := &Loop{Clock: clock, guard: guard.New(log), settings: settings, names: names, log: log, events: make(chan func(), 256),
-		done: make(chan struct{}), requests: map[balance.RequestID]*Request{}, requestsByKey: map[string]*Request{},
+		done: make(chan struct{}), requests: map[balance.RequestID]*Request{}, requestsByKey: map[string]*Request{}, undelivered: newUndeliveredKeys(),
 		endpoints: newEndpointTable(), wallClock: func() time.Duration { return time.Duration(time.Now().UnixNano()) }}
 	var err error
 	l.balancer, err = balance.New(settings, host{l}, l.Now())
--- a/internal/routing/metrics.go
+++ b/internal/routing/metrics.go
@@ -19,6 +19,7 @@
 	Outcomes      [balance.Declined + 1]uint64 // of attempts, by status
 	EndpointLists uint64                       // endpoint lists received
 	SourcesLost   uint64                       // how often the watch of the endpoint list was lost
+	KeysForgotten uint64                       // keys of requests without a delivered answer that were forgotten before their time
 }
 
 // countAttempt counts an attempt of a request. It is called before the attempt is added to the request.
@@ -47,6 +48,7 @@
 	add("hedges", m.Hedges)
 	add("endpoint lists", m.EndpointLists)
 	add("endpoint lists lost", m.SourcesLost)
+	add("undelivered keys forgotten", m.KeysForgotten)
 	for v, n := range m.Answers {
 		add("answers: "+Verdict(v).String(), n)
 	}
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -51,6 +51,11 @@
 			return
 		}
 	}
+	if req.Key != "" && l.undelivered.contains(l.Now(), req.Key) && l.unsafeClass(req.Class) {
+		// It may have run: its client disconnected before the answer, and has come again.
+		l.answer(req, Answer{Verdict: Failed})
+		return
+	}
 	l.lastID++
 	l.metrics.Requests++
 	req.id, req.receivedAt = l.lastID, l.Now()
@@ -72,6 +77,7 @@
 func (l *Loop) abandon(req *Request) {
 	if !req.ended.Load() {
 		l.markEnded(req)
+		req.abandoned = true
 		l.metrics.Abandoned++
 		l.traceAbandoned(req)
 		l.balancer.ClientGone(l.Now(), req.id)
@@ -79,6 +85,18 @@
 	}
 }
 
+// AnswerLost reports, from any goroutine, that the client of a request has disconnected before its answer was written.
+func (l *Loop) AnswerLost(req *Request) {
+	l.postAsync(func() { l.recordUndelivered(req) })
+}
+
+// recordUndelivered remembers the key of a request that must not run twice, may have run, and whose client has no answer.
+func (l *Loop) recordUndelivered(req *Request) {
+	if req.Key != "" && req.mayHaveRunSince > 0 && l.unsafe(req) {
+		l.undelivered.record(l.Now(), req.Key)
+	}
+}
+
 // answer gives a request its one final answer; a nil or ended request is ignored.
 func (l *Loop) answer(req *Request, a Answer) { l.answerWithReason(req, a, "") }
 
@@ -114,6 +132,9 @@
 		return
 	}
 	delete(l.requests, req.id)
+	if req.abandoned {
+		l.recordUndelivered(req)
+	}
 	if l.requestsByKey[req.Key] == req {
 		delete(l.requestsByKey, req.Key)
 	}
@@ -198,7 +219,10 @@
 }
 
 // unsafe reports whether the request's class must never run twice.
-func (l *Loop) unsafe(r *Request) bool { return l.settings.Classes[r.Class].Effect == balance.Unsafe }
+func (l *Loop) unsafe(r *Request) bool { return l.unsafeClass(r.Class) }
+
+// unsafeClass reports whether requests of a class must never run twice.
+func (l *Loop) unsafeClass(class int) bool { return l.settings.Classes[class].Effect == balance.Unsafe }
 
 // retryWindowEnd returns the time until which endpoints drop duplicates of a request whose first attempt that may have run
 // began at begunAt; 0 if the request's class has no such window.
--- a/internal/routing/successor.go
+++ b/internal/routing/successor.go
@@ -8,8 +8,11 @@
 
 // TakeOver makes the Loop the successor of another one, which accepts no new requests but completes those that are open in
 // it. A key that is open in the predecessor counts as open here, too, so that a client's retry is not sent while the original
-// is in flight. It must be called before the first request is submitted.
-func (l *Loop) TakeOver(prev *Loop) { l.previous.Store(prev) }
+// is in flight, and so does one whose answer the predecessor could not deliver. It must be called before the Loop runs.
+func (l *Loop) TakeOver(prev *Loop) {
+	l.previous.Store(prev)
+	l.undelivered = prev.undelivered
+}
 
 // InheritEndpoints gives a Loop that is not running yet the endpoint list of its future predecessor, so that requests need not
 // wait for discovery. It reports whether the predecessor answered within the timeout.
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -43,6 +43,7 @@
 
 func (l *Loop) view() View {
 	endpoints, open, queued := l.balancer.View(l.Now())
+	l.metrics.KeysForgotten = l.undelivered.forgotten()
 	v := View{Index: l.endpoints.index, Pending: open, Queued: queued, Metrics: l.metrics}
 	v.ShedLevel, v.DownstreamShed = l.balancer.AdmissionLevel(l.Now())
 	for _, known := range endpoints {
--- a/internal/transport/clientconn.go
+++ b/internal/transport/clientconn.go
@@ -308,7 +308,11 @@
 	case routing.Served:
 		c.credit.refill() // the time that an endpoint takes bounds what such requests cost
 		served := a.Payload.(*protocol.Message)
-		return c.send(close, protocol.ResponseHead(served, close), served.Body)
+		open := c.send(close, protocol.ResponseHead(served, close), served.Body)
+		if c.reason == closedWriteFailed {
+			loop.AnswerLost(req)
+		}
+		return open
 	case routing.Rejected:
 		busy.RetryAfter = a.RetryAfter
 		return c.reply(busy, close)
