Routing: an endpoint with a later start is another process, connections included

Cause: Loop.applyEndpoints replaced an endpoint only if its address changed; idle connections are kept by endpoint.

Change: a later start replaces it, too.

--- a/internal/routing/endpoints.go
+++ b/internal/routing/endpoints.go
@@ -96,11 +96,11 @@
 		ep := l.endpoints.findOrAdd(m.Name)
 		listed[m.Name] = true
 		readyAddresses[m.Address] = readyAddresses[m.Address] || m.State == balance.Ready
-		if m.Address != ep.Address && m.Address != "" {
-			if ep.Address != "" { // the address has changed: use a new value, as attempts in flight refer to the old one
-				l.transport.CloseIdle(ep)
-				ep = l.endpoints.replace(ep, l.Now())
-			}
+		if ep.isReplacedBy(m) { // use a new value, as attempts in flight refer to the old process
+			l.transport.CloseIdle(ep)
+			ep = l.endpoints.replace(ep, l.Now())
+		}
+		if m.Address != "" {
 			ep.Address = m.Address
 		}
 		ep.startedAt, ep.Zone, ep.member = l.startTime(ep, m), m.Zone, m
@@ -189,6 +189,12 @@
 	return true
 }
 
+// isReplacedBy reports whether a list entry names another process than the endpoint: one at another address, or one that started
+// later. The connections of the old one may be open and silent, as after the loss of its machine.
+func (ep *Endpoint) isReplacedBy(m Member) bool {
+	return ep.Address != "" && (m.Address != "" && m.Address != ep.Address || m.StartedAt > ep.member.StartedAt)
+}
+
 // idsByAddress returns the IDs of all endpoints by address.
 func (t *endpointTable) idsByAddress() map[string]balance.EndpointID {
 	ids := make(map[string]balance.EndpointID, len(t.byName))
@@ -218,7 +224,7 @@
 // replace closes an endpoint and puts a new value with the same ID, name and state in its place. An endpoint that was closed
 // before stays closed since then, under both values.
 func (t *endpointTable) replace(old *Endpoint, now time.Duration) *Endpoint {
-	ep := &Endpoint{ID: old.ID, Name: old.Name, closedAt: old.closedAt}
+	ep := &Endpoint{ID: old.ID, Name: old.Name, Address: old.Address, closedAt: old.closedAt}
 	if old.closed.Swap(true) {
 		ep.closed.Store(true)
 	} else {
