Pools: a successor does not ask a new discovery for changes since the old one's version

Cause: pool.takeOver handed the version of the old discovery's list to the new one's client. The new discovery counted from below and sent nothing.

Change: the client knows which address its list is from; a successor at another address asks for the whole list, and counts the old one as after any reload that moves discovery, from the first unconfirmed one on.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -71,6 +71,20 @@
 // New returns a Lease for the list that a process starts with.
 func New(rules Rules, now time.Duration) *Lease { return &Lease{rules: rules, reportedAt: now} }
 
+// StartAtOtherAddress records that the list that the process starts with comes from another discovery than the first address
+// names, since a reload at some time.
+func (l *Lease) StartAtOtherAddress(at time.Duration) {
+	l.addressChanges = append(l.addressChanges, addressChange{l.generation, at})
+}
+
+// UnconfirmedAddressChange returns when the first reload was whose discovery has not reported yet, and whether there is one.
+func (l *Lease) UnconfirmedAddressChange() (at time.Duration, unconfirmed bool) {
+	if len(l.addressChanges) == 0 {
+		return 0, false
+	}
+	return l.addressChanges[0].at, true
+}
+
 // LastProven is when the list was last known to be current or discovery was proven unreachable.
 func (l *Lease) LastProven() time.Duration { return max(l.reportedAt, l.unreachableAt) }
 
--- a/internal/transport/discovery_test.go
+++ b/internal/transport/discovery_test.go
@@ -432,3 +432,31 @@
 		t.Errorf("a list confirmed a minute ago may be used for %v more", left)
 	}
 }
+
+// A pool that takes over from another one at a reload which moves discovery requests the whole list, as the new discovery counts its
+// own versions, and uses the old list no longer than after any such reload. Guards against the version of another discovery.
+func TestTakeOverFromAnotherDiscovery(t *testing.T) {
+	for name, c := range map[string]struct {
+		address     string
+		wantVersion int64
+		wantLease   time.Duration
+	}{
+		"same address":  {"127.0.0.1:1", 41, 6 * time.Second},
+		"other address": {"127.0.0.1:2", 0, 4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			old := NewDiscoveryClient(t.Context(), "127.0.0.1:1", nil, discardLog)
+			old.initLease()
+			old.listAddress = "127.0.0.1:1"
+			next := NewDiscoveryClient(t.Context(), c.address, nil, discardLog)
+			next.TakeOver(old)
+			next.initLease()
+			if left := next.lease.ExpiresAt() - next.Clock.Now(); left > c.wantLease || left < c.wantLease-time.Second {
+				t.Errorf("the list may be used for %v more, want %v", left, c.wantLease)
+			}
+			if got := next.initialVersion(41); got != c.wantVersion {
+				t.Errorf("changes since version %d are requested, want %d", got, c.wantVersion)
+			}
+		})
+	}
+}
--- a/internal/transport/discoveryclient.go
+++ b/internal/transport/discoveryclient.go
@@ -40,6 +40,8 @@
 	address         string // configured
 	created         time.Time
 	initialListTime time.Time                 // when the list that the client starts with was current
+	listAddress     string                    // of the discovery that delivered the latest list; empty for none
+	movedAt         time.Time                 // when a reload moved discovery since the list that the client starts with; zero if none did
 	lease           *lease.Lease              // nil before initLease, like core
 	core            *subscription.Core        // decides; its events are in the order in which mu was held
 	subscriptions   map[int]*openSubscription // that the core has opened, by generation
@@ -71,7 +73,16 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.initLease()
-	runAll(d.handle(subscription.Started{Version: since}))
+	runAll(d.handle(subscription.Started{Version: d.initialVersion(since)}))
+}
+
+// initialVersion returns the version from which the first call requests changes: that of the list, or 0 for the whole list if the
+// list is of another discovery.
+func (d *DiscoveryClient) initialVersion(listVersion int64) int64 {
+	if d.listAddress != "" && d.listAddress != d.address {
+		return 0
+	}
+	return listVersion
 }
 
 // SwitchAddress subscribes to discovery at another address. That counts its own versions, so its whole list is requested.
@@ -86,12 +97,22 @@
 	runAll(d.handle(subscription.AddressChanged{Address: address}))
 }
 
-// TakeOver has the client start with the list of another client, and with that list's age. It is called before Watch.
+// TakeOver has the client start with the list of another client, and with that list's age. If that list is of a discovery at another
+// address, its version is not used, and it counts as after a reload. It is called before Watch.
 func (d *DiscoveryClient) TakeOver(old *DiscoveryClient) {
 	old.mu.Lock()
 	defer old.mu.Unlock()
-	if old.lease != nil {
-		d.initialListTime = time.Now().Add(old.lease.LastProven() - old.Clock.Now())
+	if old.lease == nil {
+		return
+	}
+	now := time.Now()
+	d.initialListTime = now.Add(old.lease.LastProven() - old.Clock.Now())
+	d.listAddress = old.listAddress
+	if d.address != old.address {
+		d.movedAt = now
+	}
+	if at, unconfirmed := old.lease.UnconfirmedAddressChange(); unconfirmed {
+		d.movedAt = now.Add(at - old.Clock.Now())
 	}
 }
 
@@ -106,6 +127,9 @@
 	}
 	now := d.Clock.Now()
 	d.lease = lease.New(rules, now-time.Since(d.initialListTime))
+	if !d.movedAt.IsZero() {
+		d.lease.StartAtOtherAddress(now - time.Since(d.movedAt))
+	}
 	settings := subscription.Settings{Pushed: d.Pushed, NoInitialDelay: d.NoInitialDelay, CreatedAt: now - time.Since(d.created)}
 	d.core = subscription.New(settings, d.lease, rand.New(rand.NewPCG(d.Seed, 0x6469726563746f72)), d.address)
 	d.subscriptions = map[int]*openSubscription{}
@@ -249,6 +273,7 @@
 	if !slices.Contains(actions, subscription.Action(subscription.Deliver{})) {
 		return subscription.OtherCallAnswered
 	}
+	d.listAddress = w.subscription.address
 	return nil
 }
 
