Transport: input in steady reads after a pause counts as sent at the pause

Change: each read that empties the connection starts that time anew.

Evidence: TestInputAfterAPauseCountsFromThePause is new; by the code before, its tenth read would have ended the pause (it was not run there).

--- a/internal/transport/clientconn.go
+++ b/internal/transport/clientconn.go
@@ -151,7 +151,7 @@
 		}
 		c.credit.spendRead(n)
 		c.bufferRead(buf[:n])
-		c.noteEmpty(n < len(buf))
+		c.noteRead(n, len(buf))
 		switch {
 		case n > 0 || err == nil:
 		case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/transport/clientinput.go
+++ b/internal/transport/clientinput.go
@@ -64,7 +64,7 @@
 	return os.ErrDeadlineExceeded
 }
 
-// noteEmpty records whether a look at the connection has found, or a read has left, nothing unread.
+// noteEmpty records whether a look at the connection has found nothing unread.
 func (c *clientConn) noteEmpty(empty bool) {
 	switch {
 	case !empty:
@@ -74,6 +74,16 @@
 	}
 }
 
+// noteRead records a read of n bytes into a buffer of some size. One that has not filled it has left nothing unread.
+func (c *clientConn) noteRead(n, size int) {
+	switch {
+	case n == size:
+		c.emptySince = time.Time{}
+	case n > 0:
+		c.emptySince = time.Now()
+	}
+}
+
 // arrivalTime returns when the client may have sent what is read now. While reading is paused the client's system may hold back what
 // the client has written; it counts as sent at the pause, until nothing has come for idleAfterPause.
 func (c *clientConn) arrivalTime() time.Time {
@@ -186,7 +196,7 @@
 	n, _ := c.conn.Read(buf) // the next read outside of a turn returns the error again
 	c.credit.spendRead(n)
 	c.bufferRead(buf[:n])
-	c.noteEmpty(n < len(buf))
+	c.noteRead(n, len(buf))
 	return n > 0
 }
 
@@ -214,7 +224,7 @@
 		n, err := c.conn.Read(buf)
 		c.credit.spendRead(n)
 		c.bufferRead(buf[:n])
-		c.noteEmpty(n < len(buf))
+		c.noteRead(n, len(buf))
 		return n > 0, err
 	}
 	if c.awaitTurnUntil(turnContinue, deadline) != turnGranted {
--- a/internal/transport/readahead_test.go
+++ b/internal/transport/readahead_test.go
@@ -65,3 +65,21 @@
 		})
 	}
 }
+
+// Input that comes in many small reads after a pause counts as sent at the pause until the client has been idle. Guards against a time
+// told to a server that is longer than its client has left.
+func TestInputAfterAPauseCountsFromThePause(t *testing.T) {
+	pause := time.Now().Add(-time.Second)
+	c := &clientConn{unreadSince: pause}
+	for range 15 { // over more than idleAfterPause
+		if at := c.arrivalTime(); !at.Equal(pause) {
+			t.Fatalf("input in steady reads counts as sent %v after the pause, want at the pause", at.Sub(pause))
+		}
+		c.noteRead(1, 2)
+		time.Sleep(idleAfterPause / 10)
+	}
+	time.Sleep(2 * idleAfterPause)
+	if at := c.arrivalTime(); time.Since(at) > time.Second/2 {
+		t.Errorf("input after the client was idle counts as sent %v ago", time.Since(at))
+	}
+}
