Upstream: an answer is cut short by silence, not by the time it takes

Cause: maxResponseDuration bounded a whole answer, an interim one included, where it was meant for answers that stop short.

--- a/internal/transport/upstreamconn.go
+++ b/internal/transport/upstreamconn.go
@@ -16,11 +16,11 @@
 
 // exchange is one request sent over a connection, and its response.
 type exchange struct {
-	done              func(routing.Result)
-	deadline          time.Time
-	deadlineShortened bool // to maxResponseDuration after the start of the response
-	probe             bool
-	onConnect         func() // called before a new connection is opened for it
+	done        func(routing.Result)
+	deadline    time.Time
+	silentUntil time.Time // while a response has begun: when it counts as cut short unless more of it arrives; zero before
+	probe       bool
+	onConnect   func() // called before a new connection is opened for it
 
 	mu         sync.Mutex
 	progress   routing.Progress
@@ -109,29 +109,41 @@
 // writeEndTimeout is how long a response waits for the end of its request's write before it counts as early.
 const writeEndTimeout = time.Second / 4
 
-// noteResponse records that part of a response has arrived. It reports whether that was before the whole request was
-// written, and whether it is the first part.
-func (e *exchange) noteResponse() (early, first bool) {
+// noteResponse records that part of a response has arrived. It reports whether that was before the whole request was written.
+func (e *exchange) noteResponse() (early bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.progress < routing.FullyWritten {
-		return true, false
+		return true
 	}
-	first = e.progress < routing.Answering
 	e.progress = routing.Answering
-	return false, first
+	return false
 }
 
-// maxResponseDuration bounds the time from the first byte of a response to its last.
-const maxResponseDuration = 3 * time.Second / 4
+// maxResponseSilence bounds the time between two parts of a response. A broken response can be shorter than its declared length
+// while the connection stays open: it is not waited for until the attempt's deadline.
+const maxResponseSilence = 3 * time.Second / 4
 
-// shortenDeadline moves the deadline forward, never back.
-func (e *exchange) shortenDeadline(until time.Time) {
-	if until.Before(e.deadline) {
-		e.deadline, e.deadlineShortened = until, true
+// awaitMore records that a part of the response has arrived. Between an interim response and the next one the endpoint is at work.
+func (e *exchange) awaitMore(now time.Time, betweenResponses bool) {
+	if e.silentUntil = now.Add(maxResponseSilence); betweenResponses {
+		e.silentUntil = time.Time{}
 	}
 }
 
+// cutShort reports whether the response has begun and ends before the deadline if nothing more of it arrives.
+func (e *exchange) cutShort() bool {
+	return !e.silentUntil.IsZero() && e.silentUntil.Before(e.deadline)
+}
+
+// readDeadline returns until when the next part of the response is awaited.
+func (e *exchange) readDeadline() time.Time {
+	if e.cutShort() {
+		return e.silentUntil
+	}
+	return e.deadline
+}
+
 // onFinish has f called when the exchange finishes, or now if it has already.
 func (e *exchange) onFinish(f func() bool) {
 	e.mu.Lock()
@@ -294,26 +306,23 @@
 	}
 	used, early := 0, false
 	if len(p) > 0 {
-		var first bool
-		early, first = e.noteResponse()
+		early = e.noteResponse()
 		if used, msg, failure = uc.parser.Feed(p); failure != nil {
 			failure = fmt.Errorf("%w: %w", errInvalidResponse, failure)
 		} else if early && (uc.hasResponded || msg != nil && msg.Status() == 200) {
 			// Received before the whole request was written: the rest of an earlier response, or unsolicited.
 			msg, failure = nil, fmt.Errorf("%w: received before the request was written", errInvalidResponse)
-		} else if first && msg == nil {
-			// A broken response can be shorter than its declared length while the connection stays open. Do not wait for it
-			// until the attempt's deadline.
-			e.shortenDeadline(time.Now().Add(maxResponseDuration))
-			uc.conn.SetReadDeadline(e.deadline)
+		} else if msg == nil && !early {
+			e.awaitMore(time.Now(), uc.parser.Idle())
+			uc.conn.SetReadDeadline(e.readDeadline())
 		}
 	}
 	if msg == nil && failure == nil && err != nil {
-		if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(e.deadline) {
+		if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(e.readDeadline()) {
 			return e, nil, nil, true // the read deadline of the idle phase; the exchange has set its own meanwhile
 		}
 		failure = err
-		if e.deadlineShortened && errors.Is(err, os.ErrDeadlineExceeded) {
+		if e.cutShort() && errors.Is(err, os.ErrDeadlineExceeded) {
 			failure = fmt.Errorf("%w: truncated", errInvalidResponse)
 		}
 		if errors.Is(err, io.EOF) {
--- a/internal/transport/upstreamconn_test.go
+++ b/internal/transport/upstreamconn_test.go
@@ -159,7 +159,7 @@
 	e.beginWrite()
 	go e.endWrite(nil)
 	e.awaitWrite()
-	if early, _ := e.noteResponse(); early {
+	if e.noteResponse() {
 		t.Error("a fast response counts as early")
 	}
 }
