--- a/internal/routing/endpoints.go
+++ b/internal/routing/endpoints.go
@@ -100,7 +100,7 @@
 			l.transport.CloseIdle(ep)
 			ep = l.endpoints.replace(ep, l.Now())
 		}
-		if m.Address != "" {
+		if m.Address != "" && m.Address != ep.Address { // of a new value: others read the address of one that is in use
 			ep.Address = m.Address
 		}
 		ep.startedAt, ep.Zone, ep.member = l.startTime(ep, m), m.Zone, m
